--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets that developers and CI run. `make check` is what CI runs.
+GO ?= go
+PKGS = ./...
+
+.PHONY: all build fmt fmtcheck vet lint test check demo bench capacity fuzz generate
+
+all: build
+
+build:
+	$(GO) build -o bin/mangoweir ./cmd/mangoweir
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+fmtcheck:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet $(PKGS)
+
+lint:
+	$(GO) tool staticcheck $(PKGS)
+
+test:
+	$(GO) test -race -count=1 -timeout 20m $(PKGS)
+
+check: fmtcheck vet lint test
--- /dev/null
+++ b/core/input.go
@@ -0,0 +1,231 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Input is anything that happens to an entry VM. The concrete types are listed in this file.
+type Input interface{ isInput() }
+
+// Method is what a request asks for, as far as the core has to know.
+type Method uint8
+
+// Methods. MethodOther covers idempotent requests without an effect on the flow.
+const (
+	MethodOther Method = iota
+	// MethodSubscribe opens a live feed.
+	MethodSubscribe
+	// MethodUnsubscribe closes a live feed.
+	MethodUnsubscribe
+	// MethodCancel withdraws the request with the same id (a CoAP reset).
+	MethodCancel
+)
+
+// Request is a caller's request as the core sees it. The payload is opaque.
+type Request struct {
+	Flow       FlowKey
+	ID         RequestID
+	Method     Method
+	Class      Class
+	Idempotent bool
+	// Deadline is the time that remained when the packet reached the ingress VM; 0 means the
+	// service's default.
+	Deadline time.Duration
+	// Sticky marks a request of a sequence that one target has to see in full (a block-wise upload).
+	Sticky  bool
+	Trace   TraceContext
+	Payload []byte
+}
+
+// CallerRequest is a request that the fabric handed to this VM.
+type CallerRequest struct{ Request Request }
+
+// AnswerStatus is a target's verdict on an attempt.
+type AnswerStatus uint8
+
+// Verdicts of a target.
+const (
+	// AnswerOK: the request ran, whatever its outcome means to the caller.
+	AnswerOK AnswerStatus = iota
+	// AnswerShed: the target refused the request and did not run it.
+	AnswerShed
+	// AnswerCancelled: the target withdrew the request before it ran.
+	AnswerCancelled
+	// AnswerNotification: a message of a live feed; more follow.
+	AnswerNotification
+)
+
+// LoadReport is the load that a target reports in its answers or at its load endpoint.
+type LoadReport struct {
+	InUse    uint16
+	Slots    uint16
+	Cold     bool
+	Draining bool
+	// Boot changes when the target's process restarts; 0 means not reported.
+	Boot uint64
+}
+
+// TargetAnswer is a message from a target.
+type TargetAnswer struct {
+	// From is the address the message came from; Service and Flow are read from its header.
+	From    netip.AddrPort
+	Flow    FlowKey
+	Token   AttemptToken
+	Status  AnswerStatus
+	Load    *LoadReport
+	Payload []byte
+}
+
+// TargetProbe is the outcome of a read of a target's health or load endpoint. It may lag or mislead.
+type TargetProbe struct {
+	Target TargetID
+	OK     bool
+	Load   *LoadReport
+}
+
+// PeerMessage is a message from another VM.
+type PeerMessage struct {
+	From VMName
+	Msg  Message
+}
+
+// LinkState is what a driver learned about the link to a peer.
+type LinkState uint8
+
+// States of a link.
+const (
+	// LinkUp: a link was established with a peer that proved its name.
+	LinkUp LinkState = iota
+	// LinkDown: the link was lost for an unknown reason.
+	LinkDown
+	// LinkRefused: the peer's machine answers, but no process listens (connection refused).
+	LinkRefused
+)
+
+// LinkEvent is a change of a peer link.
+type LinkEvent struct {
+	Peer  VMName
+	State LinkState
+}
+
+// HeadsRead is a successful read of the versions of the platform's objects.
+type HeadsRead struct {
+	// StartedAt is when the read was sent; the versions were current at some time after it.
+	StartedAt  time.Duration
+	Generation Generation
+	Epochs     map[ZoneName]Epoch
+}
+
+// ManifestRead is a successful read of the manifest.
+type ManifestRead struct {
+	StartedAt  time.Duration
+	Generation Generation
+	Text       []byte
+}
+
+// MembersRead is a successful read of a zone's member list; Epoch 0 means that none exists.
+type MembersRead struct {
+	StartedAt time.Duration
+	Zone      ZoneName
+	Epoch     Epoch
+	Members   []Member
+}
+
+// Member is a VM in a zone's member list.
+type Member struct {
+	Name        VMName      `json:"name"`
+	Incarnation Incarnation `json:"incarnation"`
+	// Addr is the address of the VM's peer port.
+	Addr netip.AddrPort `json:"addr"`
+}
+
+// VMListRead is a read of the platform's lagging list of VMs.
+type VMListRead struct{ VMs []ListedVM }
+
+// ListedVM is an entry of the platform's list.
+type ListedVM struct {
+	Name    VMName         `json:"name"`
+	Zone    ZoneName       `json:"zone"`
+	Addr    netip.AddrPort `json:"addr"`
+	Leaving bool           `json:"leaving"`
+}
+
+// WriteOutcome is the outcome of a conditional write.
+type WriteOutcome uint8
+
+// Outcomes of a write.
+const (
+	WriteDone WriteOutcome = iota
+	WriteConflict
+	// WriteUnknown: no answer came; the write may have taken effect.
+	WriteUnknown
+)
+
+// MembersWritten is the outcome of a WriteMembers action.
+type MembersWritten struct {
+	Zone    ZoneName
+	Outcome WriteOutcome
+	// Epoch is the new epoch when Outcome is WriteDone.
+	Epoch Epoch
+}
+
+// PlatformFailed says that a read of the platform failed.
+type PlatformFailed struct{ Object string }
+
+// Tick tells the core that time has passed. A driver sends one at least every 50 ms.
+type Tick struct{}
+
+// Stop starts a planned stop: the VM hands over its targets and finishes what is in flight.
+type Stop struct{}
+
+// SnapshotPublished carries a new snapshot from control to a traffic shard.
+type SnapshotPublished struct{ Snapshot *Snapshot }
+
+// TakeOver tells a traffic shard to hold a target without a handover.
+type TakeOver struct {
+	Target TargetID
+	Number HoldingNumber
+	// First is true when no VM can have held the target before.
+	First bool
+	// FormerUntil is the time until which a former holder may still act; 0 when it is known dead
+	// or there was none. Admission to the target and non-idempotent work wait until then.
+	FormerUntil time.Duration
+	// FormerDiedBy is the latest time at which the former holder was alive, for the quarantine of
+	// non-idempotent requests.
+	FormerDiedBy time.Duration
+	// BackupInSync is true when this VM was the former holder's backup and knows all its records.
+	BackupInSync bool
+}
+
+// Release tells a traffic shard to hand a target over to another VM.
+type Release struct {
+	Target TargetID
+	To     VMName
+	Number HoldingNumber
+}
+
+// Drop tells a traffic shard that another VM holds the target under a higher number.
+type Drop struct {
+	Target TargetID
+	Holder VMName
+	Number HoldingNumber
+}
+
+func (CallerRequest) isInput()     {}
+func (TargetAnswer) isInput()      {}
+func (TargetProbe) isInput()       {}
+func (PeerMessage) isInput()       {}
+func (LinkEvent) isInput()         {}
+func (HeadsRead) isInput()         {}
+func (ManifestRead) isInput()      {}
+func (MembersRead) isInput()       {}
+func (VMListRead) isInput()        {}
+func (MembersWritten) isInput()    {}
+func (PlatformFailed) isInput()    {}
+func (Tick) isInput()              {}
+func (Stop) isInput()              {}
+func (SnapshotPublished) isInput() {}
+func (TakeOver) isInput()          {}
+func (Release) isInput()           {}
+func (Drop) isInput()              {}
--- /dev/null
+++ b/core/message.go
@@ -0,0 +1,232 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Message is a message between entry VMs. The concrete types are listed in this file; package
+// internal/wire encodes them.
+type Message interface{ isMessage() }
+
+// VMState is the state that a VM announces.
+type VMState uint8
+
+// States of a VM.
+const (
+	VMJoining VMState = iota
+	VMLive
+	VMLeaving
+)
+
+// Heartbeat is what VMs tell each other every HeartbeatInterval.
+type Heartbeat struct {
+	Zone        ZoneName
+	Addr        netip.AddrPort
+	Incarnation Incarnation
+	Seq         uint64
+	// AckSeq is the newest Seq heard from the receiver.
+	AckSeq     uint64
+	State      VMState
+	Generation Generation
+	Epochs     []ZoneEpoch
+	// ConfirmAge is the age of the platform's confirmation of Generation and Epochs; NoConfirm when
+	// there is none.
+	ConfirmAge time.Duration
+	Holdings   []Holding
+	// BackupSeq counts the records that the sender has sent to the receiver as its backup.
+	BackupSeq uint64
+}
+
+// NoConfirm is the ConfirmAge of a VM that has no confirmation.
+const NoConfirm = time.Duration(-1)
+
+// ZoneEpoch is the newest epoch that a VM knows of a zone.
+type ZoneEpoch struct {
+	Zone  ZoneName
+	Epoch Epoch
+}
+
+// Holding announces a target that the sender holds.
+type Holding struct {
+	Target TargetID
+	Number HoldingNumber
+	Load   TargetLoad
+}
+
+// ConfigPull asks for the manifest if the receiver has a newer one than Have.
+type ConfigPull struct{ Have Generation }
+
+// ConfigPush carries a manifest; Sum is the xxhash of Text.
+type ConfigPush struct {
+	Generation Generation
+	Text       []byte
+	Sum        uint64
+}
+
+// MembersPull asks for the member list of a zone if the receiver has a newer one than Have.
+type MembersPull struct {
+	Zone ZoneName
+	Have Epoch
+}
+
+// MembersPush carries the member list of a zone.
+type MembersPush struct {
+	Zone    ZoneName
+	Epoch   Epoch
+	Members []Member
+}
+
+// ForwardRequest carries a caller's request to the holder of a target.
+type ForwardRequest struct {
+	Request Request
+	// Target is the candidate whose holder the message is for.
+	Target TargetID
+	// Trail lists the candidates still to be asked, oldest first.
+	Trail []TargetID
+	// Known is true when the sender knows that the flow is on Target.
+	Known bool
+	// Cleared is true when the holders of all former candidates have said that they have no record
+	// of the request; only then may a non-idempotent request of an unknown flow start.
+	Cleared bool
+	// Unreached is true when the holder of a former candidate could not be asked.
+	Unreached  bool
+	Ingress    VMName
+	Hops       uint8
+	Generation Generation
+	// Age is the time since the packet reached the ingress VM, as far as VMs measured it.
+	Age time.Duration
+}
+
+// FlowLearned tells an ingress VM which target a flow is on.
+type FlowLearned struct {
+	Flow   FlowKey
+	Target TargetID
+}
+
+// FlowQuery asks a peer whether it knows the target of a flow.
+type FlowQuery struct{ Flow FlowKey }
+
+// FlowReply answers a FlowQuery; Target 0 means that the flow is not known.
+type FlowReply struct {
+	Flow   FlowKey
+	Target TargetID
+}
+
+// RecordStarted asks the backup to keep a copy of a started record.
+type RecordStarted struct {
+	Target TargetID
+	Number HoldingNumber
+	Flow   FlowKey
+	ID     RequestID
+	Seq    uint64
+}
+
+// RecordAck confirms a RecordStarted.
+type RecordAck struct {
+	Target TargetID
+	Number HoldingNumber
+	Seq    uint64
+}
+
+// HandoverBegin starts the handover of a target's state.
+type HandoverBegin struct {
+	Target TargetID
+	Number HoldingNumber
+	// Limit and Cold are the admission state; Warm is how far the ramp has come.
+	Limit    uint16
+	Cold     bool
+	Warm     time.Duration
+	Boot     uint64
+	InFlight uint16
+	// QuarantineLeft is the time until which the sender itself was in quarantine.
+	QuarantineLeft time.Duration
+}
+
+// FlowState is a flow in a handover.
+type FlowState struct {
+	Flow FlowKey
+	// Target is where the flow is placed; it differs from the target handed over for a redirect.
+	Target TargetID
+	Idle   time.Duration
+	// Feed is the registration of a live feed, if there is one.
+	Feed *Request
+}
+
+// RecordState is the state of a non-idempotent request.
+type RecordState uint8
+
+// States of a record.
+const (
+	RecordQueued RecordState = iota
+	RecordSent
+	RecordDone
+	RecordNotRun
+	RecordUnknown
+)
+
+// RequestRecord is the record of a non-idempotent request in a handover.
+type RequestRecord struct {
+	Flow  FlowKey
+	ID    RequestID
+	State RecordState
+	// Left is the remaining life of the record.
+	Left   time.Duration
+	Answer []byte
+}
+
+// HandoverChunk carries part of a target's state.
+type HandoverChunk struct {
+	Target  TargetID
+	Number  HoldingNumber
+	Flows   []FlowState
+	Records []RequestRecord
+}
+
+// HandoverEnd ends the handover; Chunks is the number of chunks sent.
+type HandoverEnd struct {
+	Target TargetID
+	Number HoldingNumber
+	Chunks uint32
+}
+
+// HandoverAck confirms that the receiver holds the target.
+type HandoverAck struct {
+	Target TargetID
+	Number HoldingNumber
+	OK     bool
+}
+
+// RequestOutcome reports the end of a request that the former holder had in flight.
+type RequestOutcome struct {
+	Target TargetID
+	Number HoldingNumber
+	Record RequestRecord
+	// Idempotent requests have no record; only the slot is given back.
+	Idempotent bool
+}
+
+// StatusPull asks a peer for what it knows about its zone's VMs.
+type StatusPull struct{}
+
+// StatusPush answers a StatusPull.
+type StatusPush struct{ VMs []VMStatus }
+
+func (*Heartbeat) isMessage()      {}
+func (*ConfigPull) isMessage()     {}
+func (*ConfigPush) isMessage()     {}
+func (*MembersPull) isMessage()    {}
+func (*MembersPush) isMessage()    {}
+func (*ForwardRequest) isMessage() {}
+func (*FlowLearned) isMessage()    {}
+func (*FlowQuery) isMessage()      {}
+func (*FlowReply) isMessage()      {}
+func (*RecordStarted) isMessage()  {}
+func (*RecordAck) isMessage()      {}
+func (*HandoverBegin) isMessage()  {}
+func (*HandoverChunk) isMessage()  {}
+func (*HandoverEnd) isMessage()    {}
+func (*HandoverAck) isMessage()    {}
+func (*RequestOutcome) isMessage() {}
+func (*StatusPull) isMessage()     {}
+func (*StatusPush) isMessage()     {}
--- /dev/null
+++ b/core/snapshot.go
@@ -0,0 +1,94 @@
+package core
+
+import "time"
+
+// Snapshot is the view of control that traffic works with. Control builds a new one for every
+// change; it is immutable once published.
+type Snapshot struct {
+	Self        VMName
+	Zone        ZoneName
+	Incarnation Incarnation
+	Config      *Config
+	// Services has an entry for every service in Config.
+	Services map[ServiceID]*ServiceView
+	// Targets has an entry for every target in Config and for removed targets that may still have
+	// flows or records.
+	Targets map[TargetID]*TargetView
+	// AuthorityUntil is the time until which this VM may start non-idempotent requests and send to
+	// cold targets; it is not after now when the VM has no authority.
+	AuthorityUntil time.Duration
+	// NewestGeneration is the newest generation that any peer or the platform was heard to have.
+	NewestGeneration Generation
+	// NewestKnownSince is when NewestGeneration was first heard of.
+	NewestKnownSince time.Duration
+	// Peers are the VMs that can be asked about flows, without Self.
+	Peers []VMName
+	// Leaving is true while this VM drains.
+	Leaving bool
+}
+
+// ServiceView is a service with the target sets that decide the primaries of its flows.
+type ServiceView struct {
+	Service *Service
+	// Current holds the targets that accept new flows.
+	Current TargetSet
+	// Former holds earlier sets, newest first, at most MaxFormerSets.
+	Former []FormerSet
+}
+
+// MaxFormerSets bounds the former target sets per service.
+const MaxFormerSets = 16
+
+// TargetSet is the input of rendezvous hashing: targets and their weights, in ascending id order.
+type TargetSet struct {
+	IDs     []TargetID
+	Weights []float64
+}
+
+// FormerSet is a target set that was replaced.
+type FormerSet struct {
+	Set TargetSet
+	// ReplacedAt is when this VM installed the next set.
+	ReplacedAt time.Duration
+}
+
+// TargetView is a target with what control knows about its holder and its state.
+type TargetView struct {
+	Target Target
+	// Holder is the VM that has the target's state; empty when none is known.
+	Holder VMName
+	// Number is the holding number of Holder.
+	Number HoldingNumber
+	// Desired is the VM that should hold the target; empty when its zone has no member and no other
+	// zone is in service.
+	Desired VMName
+	// Backup is the VM that keeps copies of the holder's started records; empty when there is none.
+	Backup VMName
+	// ZoneOut is true when operators have taken the target's zone out; it gets no packets.
+	ZoneOut bool
+	// Removed is true when the target is no longer in the configuration.
+	Removed bool
+	// RemovedAt is when this VM installed the configuration without the target.
+	RemovedAt time.Duration
+	// NotBefore is the time before which the target gets no packets (address quarantine).
+	NotBefore time.Duration
+	// Leaving is true when the target drains, by manifest, platform list or its own answers.
+	Leaving bool
+	// Load is the newest load that the holder announced.
+	Load TargetLoad
+}
+
+// Accepts reports whether the target takes new flows at the given time.
+func (t *TargetView) Accepts(now time.Duration) bool {
+	return !t.ZoneOut && !t.Removed && !t.Leaving && now >= t.NotBefore && t.Target.Weight > 0
+}
+
+// TargetLoad is what a holder announces about a target.
+type TargetLoad struct {
+	Flows    uint32
+	InFlight uint16
+	Limit    uint16
+	Queued   uint16
+	Cold     bool
+	Leaving  bool
+}
