Add the carrier of CoAP datagrams

Cause: the daemon needs requests, answers and refusals as core types, and its stand-ins need the same wire format. Ruled out: pool.Message of go-coap, which copies each message twice and keeps options of any length; the message types and the coder suffice. Confirmable messages to targets, because only the core may decide to send a request again. A reset as a cancel that carries a token, which RFC 7252 forbids: a cancel is a reset with the attempt's message id, or Observe 1 for a live feed, and targets confirm it with a flag in their load report.

--- /dev/null
+++ b/internal/carrier/probe.go
@@ -0,0 +1,54 @@
+package carrier
+
+import (
+	"encoding/binary"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// ProbePath is the path of a target's health and load endpoint.
+const ProbePath = "health"
+
+// Probe is a target's answer to a read of its health and load endpoint.
+type Probe struct {
+	Token core.AttemptToken
+	OK    bool
+	Load  *core.LoadReport
+}
+
+// AppendProbe appends the datagram that reads a target's health and load endpoint. Its header is a
+// PROXY LOCAL header, as no caller is involved.
+func AppendProbe(dst []byte, token core.AttemptToken) ([]byte, error) {
+	m := message.Message{Code: codes.GET}
+	address(&m, token)
+	AddOption(&m, OptionPath, []byte(ProbePath))
+	return AppendDatagram(dst, Header{Local: true}, &m)
+}
+
+// IsProbe reports whether a datagram has a PROXY LOCAL header, as probes and their answers do.
+func IsProbe(datagram []byte) bool {
+	return len(datagram) >= 13 && datagram[12] == 0x20
+}
+
+// DecodeProbe decodes a target's answer to a probe.
+func DecodeProbe(datagram []byte) (Probe, error) {
+	h, body, err := SplitDatagram(datagram)
+	if err != nil {
+		return Probe{}, err
+	}
+	m, err := ParseMessage(body)
+	if err != nil {
+		return Probe{}, err
+	}
+	if !h.Local || !isResponse(m.Code) || len(m.Token) != TokenSize {
+		return Probe{}, fail(KindUnexpected, "%v %v as the answer to a probe", m.Type, m.Code)
+	}
+	p := Probe{Token: core.AttemptToken(binary.BigEndian.Uint64(m.Token)), OK: m.Code>>5 == 2}
+	if r, ok := loadReport(&m); ok {
+		p.Load = &r.Load
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/carrier/report.go
@@ -0,0 +1,65 @@
+package carrier
+
+import (
+	"encoding/binary"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// Report is the value of OptionLoadReport: slots in use, slots, flags and boot id.
+type Report struct {
+	Load core.LoadReport
+	// Shed marks an answer to a request that the target refused and did not run.
+	Shed bool
+	// Cancelled marks an answer to a request that the target withdrew before it ran.
+	Cancelled bool
+}
+
+// reportSize is the size of an encoded Report in bytes.
+const reportSize = 13
+
+// Flags of an encoded Report.
+const (
+	flagCold = 1 << iota
+	flagDraining
+	flagShed
+	flagCancelled
+)
+
+// Encode returns the value of the option.
+func (r Report) Encode() []byte {
+	b := make([]byte, reportSize)
+	binary.BigEndian.PutUint16(b, r.Load.InUse)
+	binary.BigEndian.PutUint16(b[2:], r.Load.Slots)
+	b[4] = flag(r.Load.Cold, flagCold) | flag(r.Load.Draining, flagDraining) |
+		flag(r.Shed, flagShed) | flag(r.Cancelled, flagCancelled)
+	binary.BigEndian.PutUint64(b[5:], r.Load.Boot)
+	return b
+}
+
+// flag returns bit when set is true.
+func flag(set bool, bit byte) byte {
+	if set {
+		return bit
+	}
+	return 0
+}
+
+// DecodeReport decodes the value of the option; it reports false when the length is wrong.
+func DecodeReport(b []byte) (Report, bool) {
+	if len(b) != reportSize {
+		return Report{}, false
+	}
+	flags := b[4]
+	return Report{
+		Load: core.LoadReport{
+			InUse:    binary.BigEndian.Uint16(b),
+			Slots:    binary.BigEndian.Uint16(b[2:]),
+			Cold:     flags&flagCold != 0,
+			Draining: flags&flagDraining != 0,
+			Boot:     binary.BigEndian.Uint64(b[5:]),
+		},
+		Shed:      flags&flagShed != 0,
+		Cancelled: flags&flagCancelled != 0,
+	}, true
+}
--- /dev/null
+++ b/internal/carrier/request.go
@@ -0,0 +1,109 @@
+package carrier
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// DecodeRequest decodes a caller's datagram. It returns the request and the service address that it
+// was sent to; the caller of the function sets Flow.Service, which is 0. The payload is a copy of the
+// caller's CoAP message. An empty message becomes a MethodCancel whose id is core.CancelID of the
+// message id.
+func DecodeRequest(datagram []byte) (core.Request, netip.AddrPort, error) {
+	h, body, err := SplitDatagram(datagram)
+	if err != nil {
+		return core.Request{}, netip.AddrPort{}, err
+	}
+	if h.Local {
+		return core.Request{}, netip.AddrPort{}, fail(KindUnexpected, "request without a caller")
+	}
+	m, err := ParseMessage(body)
+	if err != nil {
+		return core.Request{}, netip.AddrPort{}, err
+	}
+	req, err := request(&m)
+	if err != nil {
+		return core.Request{}, netip.AddrPort{}, err
+	}
+	req.Flow = core.NewFlowKey(h.Source, 0)
+	req.Payload = bytes.Clone(body)
+	return req, h.Destination, nil
+}
+
+// request derives everything but flow and payload from a caller's message.
+func request(m *message.Message) (core.Request, error) {
+	if m.Code == codes.Empty && m.Type != message.Acknowledgement {
+		id := core.CancelID(uint16(m.MessageID))
+		return core.Request{ID: id, Method: core.MethodCancel, Class: core.ClassRead, Idempotent: true}, nil
+	}
+	if !isRequest(m.Code) || m.Type > message.NonConfirmable {
+		return core.Request{}, fail(KindUnexpected, "%v %v from a caller", m.Type, m.Code)
+	}
+	block, blockwise, err := Block1(m)
+	if err != nil {
+		return core.Request{}, err
+	}
+	return core.Request{
+		ID:         requestID(m, block, blockwise),
+		Method:     method(m),
+		Class:      class(m, blockwise),
+		Idempotent: idempotent(m.Code),
+		Deadline:   deadline(m),
+		Sticky:     blockwise,
+	}, nil
+}
+
+// method returns what a request does to its flow.
+func method(m *message.Message) core.Method {
+	observe, ok := OptionUint(m, OptionObserve)
+	switch {
+	case !ok || m.Code != codes.GET:
+		return core.MethodOther
+	case observe == ObserveRegister:
+		return core.MethodSubscribe
+	case observe == ObserveDeregister:
+		return core.MethodUnsubscribe
+	}
+	return core.MethodOther
+}
+
+// class returns the class of a request. PUT, DELETE and iPATCH change state like postings do, and
+// differ from them in being idempotent.
+func class(m *message.Message, blockwise bool) core.Class {
+	if m.Code == codes.GET || m.Code == codes.FETCH {
+		if method(m) != core.MethodOther {
+			return core.ClassFeed
+		}
+		return core.ClassRead
+	}
+	path, _ := OptionValue(m, OptionPath)
+	if blockwise || string(path) == UploadPath {
+		return core.ClassUpload
+	}
+	return core.ClassPosting
+}
+
+// idempotent reports whether a method may run more than once. Unknown methods may not.
+func idempotent(c codes.Code) bool {
+	switch c {
+	case codes.GET, codes.PUT, codes.DELETE, codes.FETCH, codes.IPATCH:
+		return true
+	}
+	return false
+}
+
+// deadline returns the remaining time; 0 means that the request names none. A remaining time of 0
+// counts as 1 ms, as the request is late and not without a deadline.
+func deadline(m *message.Message) time.Duration {
+	ms, ok := OptionUint(m, OptionDeadline)
+	if !ok {
+		return 0
+	}
+	return time.Duration(min(max(ms, 1), maxDeadlineMillis)) * time.Millisecond
+}
--- /dev/null
+++ b/internal/carrier/requestid.go
@@ -0,0 +1,38 @@
+package carrier
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/plgd-dev/go-coap/v3/message"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// requestID returns the id of a request: the token or Request-Tag is hashed into the upper half; the
+// lower half holds the Block1 number and, without a tag, the message id.
+func requestID(m *message.Message, block Block, blockwise bool) core.RequestID {
+	part := uint32(0)
+	if blockwise {
+		part = block.Num + 1
+	}
+	if tags, ok := tagHash(m); ok {
+		return core.TaggedRequestID(tags, part)
+	}
+	return core.MessageRequestID(xxhash.Sum64(m.Token), uint16(m.MessageID), part)
+}
+
+// tagHash hashes the method and all Request-Tag options; it reports false when there is none.
+// Different methods may use the same tag at the same time (RFC 9175, 3.3).
+func tagHash(m *message.Message) (uint64, bool) {
+	var d xxhash.Digest
+	d.Reset()
+	found := false
+	for _, o := range m.Options {
+		if o.ID != OptionRequestTag {
+			continue
+		}
+		found = true
+		_, _ = d.Write([]byte{byte(m.Code), byte(len(o.Value))})
+		_, _ = d.Write(o.Value)
+	}
+	return d.Sum64(), found
+}
--- /dev/null
+++ b/internal/carrier/target.go
@@ -0,0 +1,93 @@
+package carrier
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// AppendSend appends the datagram for an action towards a target to dst: the request, or its
+// cancellation.
+func AppendSend(dst []byte, a *core.SendTarget, service netip.AddrPort) ([]byte, error) {
+	if a.Kind == core.SendCancel {
+		return AppendCancel(dst, a, service)
+	}
+	return AppendRequest(dst, a, service)
+}
+
+// AppendRequest appends the datagram that sends an attempt of a request to a target. The message has
+// the caller's options with the remaining time, the attempt token and a message id of its own. It is
+// non-confirmable, as only the core decides whether a request is sent again.
+func AppendRequest(dst []byte, a *core.SendTarget, service netip.AddrPort) ([]byte, error) {
+	m, err := ParseMessage(a.Request.Payload)
+	if err != nil {
+		return dst, err
+	}
+	if !isRequest(m.Code) {
+		return dst, fail(KindUnexpected, "%v as a request to a target", m.Code)
+	}
+	address(&m, a.Token)
+	SetOptionUint(&m, OptionDeadline, remainingMillis(a.Remaining))
+	return AppendDatagram(dst, towardsTarget(a, service), &m)
+}
+
+// AppendCancel appends the datagram that withdraws an attempt. For a live feed it is the feed's
+// request with Observe 1 (RFC 7641, 3.6), for any other request a reset with its message id. A target
+// that complies answers with the attempt token and Report.Cancelled.
+func AppendCancel(dst []byte, a *core.SendTarget, service netip.AddrPort) ([]byte, error) {
+	if a.Request.Method != core.MethodSubscribe {
+		m := message.Message{Type: message.Reset, Code: codes.Empty, MessageID: int32(messageID(a.Token))}
+		return AppendDatagram(dst, towardsTarget(a, service), &m)
+	}
+	m, err := ParseMessage(a.Request.Payload)
+	if err != nil {
+		return dst, err
+	}
+	address(&m, a.Token)
+	RemoveOption(&m, OptionDeadline)
+	SetOptionUint(&m, OptionObserve, ObserveDeregister)
+	return AppendDatagram(dst, towardsTarget(a, service), &m)
+}
+
+// AppendReset appends the datagram that rejects a target's message, such as a notification of an
+// unknown feed. RFC 7641, 3.6 requires the target to end that feed.
+func AppendReset(dst []byte, answer []byte) ([]byte, error) {
+	h, body, err := SplitDatagram(answer)
+	if err != nil {
+		return dst, err
+	}
+	in, err := ParseMessage(body)
+	if err != nil {
+		return dst, err
+	}
+	m := message.Message{Type: message.Reset, Code: codes.Empty, MessageID: in.MessageID}
+	return AppendDatagram(dst, Header{Source: h.Destination, Destination: h.Source, Local: h.Local}, &m)
+}
+
+// towardsTarget returns the header of a datagram to a target.
+func towardsTarget(a *core.SendTarget, service netip.AddrPort) Header {
+	return Header{Source: a.Request.Flow.CallerAddr(), Destination: service}
+}
+
+// address gives a message the type, token and message id of an attempt.
+func address(m *message.Message, token core.AttemptToken) {
+	m.Type = message.NonConfirmable
+	m.Token = binary.BigEndian.AppendUint64(nil, uint64(token))
+	m.MessageID = int32(messageID(token))
+}
+
+// messageID derives a message id from an attempt token. Targets tell attempts apart by the token,
+// because message ids repeat after 65,536 attempts of a VM.
+func messageID(token core.AttemptToken) uint16 {
+	return uint16(token) ^ uint16(token>>32)
+}
+
+// remainingMillis rounds down, so that a target never assumes more time than there is.
+func remainingMillis(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), int64(maxDeadlineMillis)))
+}
