wire: encode and check messages between VMs

Cause: VMs have no format in which to exchange core messages. Change: protobuf messages for every type in core/message.go and Hello, in an envelope with the protocol version; Encode and Decode with size, list, address, name and enumeration checks and typed errors; Negotiate; make generate and make fuzz. Version 2 adds the trace context of requests and the backup sequence of heartbeats. core.NoBackupSeq stands for a heartbeat of version 1, so that a missing sequence never reads as an empty, complete backup. Ruled out: one protobuf message per holding and epoch in heartbeats, as packed columns need no tag and length per entry; sending names of zones as hashes, as a receiver could not name a zone it has not seen.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,13 @@
 	$(GO) test -race -count=1 -timeout 20m $(PKGS)
 
 check: fmtcheck vet lint test
+
+# Needs protoc; the plugin is built from the version in go.mod.
+generate:
+	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=protoc-gen-go=bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative internal/wire/wirepb/wire.proto
+
+# FUZZTIME bounds each fuzz target.
+FUZZTIME ?= 30s
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/wire
--- a/core/message.go
+++ b/core/message.go
@@ -34,10 +34,15 @@
 	// there is none.
 	ConfirmAge time.Duration
 	Holdings   []Holding
-	// BackupSeq counts the records that the sender has sent to the receiver as its backup.
+	// BackupSeq counts the records that the sender has sent to the receiver as its backup;
+	// NoBackupSeq when the sender's protocol version does not carry it.
 	BackupSeq uint64
 }
 
+// NoBackupSeq is the BackupSeq of a heartbeat that carries none. It is the highest value, so that a
+// backup of such a sender never counts as complete.
+const NoBackupSeq = ^uint64(0)
+
 // NoConfirm is the ConfirmAge of a VM that has no confirmation.
 const NoConfirm = time.Duration(-1)
 
--- /dev/null
+++ b/internal/wire/hello.go
@@ -0,0 +1,81 @@
+package wire
+
+import (
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/wire/wirepb"
+)
+
+// Hello is the first message of both sides of a connection. It is sent in an envelope of version
+// MinVersion, which every release that can share a version understands.
+type Hello struct {
+	Name        core.VMName
+	Zone        core.ZoneName
+	Incarnation core.Incarnation
+	// Min and Max are the versions that the sender speaks.
+	Min, Max Version
+	// LinkID is chosen by the dialer; the answer repeats it.
+	LinkID uint64
+	// LastLinkID is the link that the dialer has lost or wants to replace; 0 when there was none.
+	LastLinkID uint64
+	// Peer is the VM that the dialer means to reach, or, in an answer, the dialer.
+	Peer core.VMName
+	// Duplicate says in an answer that the connection is not needed.
+	Duplicate bool
+}
+
+// EncodeHello returns the envelope of a Hello. Errors: ErrInvalid.
+func EncodeHello(h *Hello) ([]byte, error) {
+	if err := validateHello(h); err != nil {
+		return nil, err
+	}
+	body := &wirepb.Hello{
+		Name:        string(h.Name),
+		Zone:        string(h.Zone),
+		Incarnation: uint32(h.Incarnation),
+		MinVersion:  uint32(h.Min),
+		MaxVersion:  uint32(h.Max),
+		LinkId:      h.LinkID,
+		LastLinkId:  h.LastLinkID,
+		Peer:        string(h.Peer),
+		Duplicate:   h.Duplicate,
+	}
+	return marshal(&wirepb.Envelope{Version: uint32(MinVersion), Body: &wirepb.Envelope_Hello{Hello: body}})
+}
+
+// DecodeHello returns the Hello of an envelope. It accepts every envelope version, as versions are
+// only agreed on by Hello. Errors: ErrTooLarge, ErrMalformed, ErrUnknownKind, ErrInvalid.
+func DecodeHello(data []byte) (*Hello, error) {
+	env, err := unmarshal(data)
+	if err != nil {
+		return nil, err
+	}
+	body := env.GetHello()
+	if body == nil {
+		return nil, newError(ErrUnknownKind, "expected a Hello")
+	}
+	h := &Hello{
+		Name:        core.VMName(body.Name),
+		Zone:        core.ZoneName(body.Zone),
+		Incarnation: core.Incarnation(body.Incarnation),
+		Min:         Version(body.MinVersion),
+		Max:         Version(body.MaxVersion),
+		LinkID:      body.LinkId,
+		LastLinkID:  body.LastLinkId,
+		Peer:        core.VMName(body.Peer),
+		Duplicate:   body.Duplicate,
+	}
+	if err := validateHello(h); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func validateHello(h *Hello) error {
+	c := &checker{}
+	c.name("name", string(h.Name))
+	c.name("zone", string(h.Zone))
+	c.name("peer", string(h.Peer))
+	c.check(h.Min > 0 && h.Min <= h.Max, "versions %d to %d", h.Min, h.Max)
+	c.check(h.LinkID != 0, "link id is 0")
+	return c.err
+}
