Add manifest: parsing, validation, conversion, diff and zone state

VMs need one pure function from the accepted text to core.Config, and operators need all faults of a manifest at once with positions.

An address that a service gives up is listed in the generated field of the stored text, with the time. Comparing only with the previous manifest was ruled out: a VM may skip generations, and an address removed in one generation and added to another service in the next would get no quarantine. The address of a service cannot move to another service at once, because a VM with the old manifest would pass packets to the former service.

A zone without a state keeps the state in force when a manifest is applied, so that a generated manifest does not undo a zone change.

jsonc lists at most 1000 problems and tells which values failed to decode.

--- /dev/null
+++ b/internal/contract/left.go
@@ -0,0 +1,106 @@
+package contract
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/jsonc"
+)
+
+// leftKeep is how long an address that a service gave up stays listed: the quarantine itself plus an
+// allowance of 45 s for differences between the clocks of operators' machines.
+const leftKeep = core.AddressQuarantine + 45*time.Second
+
+// leftIndex maps addresses to the services that gave them up.
+type leftIndex map[netip.AddrPort][]string
+
+func (g *Generated) index() leftIndex {
+	if g == nil || len(g.Left) == 0 {
+		return nil
+	}
+	out := make(leftIndex, len(g.Left))
+	for _, l := range g.Left {
+		a, err := netip.ParseAddrPort(l.Address)
+		if err != nil {
+			continue
+		}
+		a = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+		out[a] = append(out[a], l.Service)
+	}
+	return out
+}
+
+// moved reports whether a service other than the given one gave the address up.
+func (l leftIndex) moved(addr netip.AddrPort, service string) bool {
+	return slices.ContainsFunc(l[addr], func(former string) bool { return former != service })
+}
+
+// leftAddresses lists the addresses that services give up between prev and next at time now, and
+// those that prev lists and that are still recent. A later generation that follows within seconds
+// has to repeat the list, because a VM may skip generations. prev may be nil.
+func leftAddresses(prev, next *Manifest, now time.Time) []LeftAddress {
+	if prev == nil {
+		return nil
+	}
+	var out []LeftAddress
+	if prev.Generated != nil {
+		for _, l := range prev.Generated.Left {
+			if now.Sub(l.At) < leftKeep {
+				out = append(out, l)
+			}
+		}
+	}
+	owners := next.owners()
+	for addr, service := range prev.owners() {
+		if owners[addr] != service {
+			out = append(out, LeftAddress{Address: addr.String(), Service: service, At: now})
+		}
+	}
+	slices.SortFunc(out, compareLeft)
+	return slices.CompactFunc(out, func(a, b LeftAddress) bool {
+		return a.Address == b.Address && a.Service == b.Service
+	})
+}
+
+// compareLeft orders by address and service, newest first.
+func compareLeft(a, b LeftAddress) int {
+	if c := strings.Compare(a.Address, b.Address); c != 0 {
+		return c
+	}
+	if c := strings.Compare(a.Service, b.Service); c != 0 {
+		return c
+	}
+	return b.At.Compare(a.At)
+}
+
+// owners maps the address of each service and target to the service.
+func (m *Manifest) owners() map[netip.AddrPort]string {
+	out := map[netip.AddrPort]string{}
+	for i := range m.Services {
+		s := &m.Services[i]
+		out[mustAddress(s.Address)] = s.Name
+		for j := range s.Targets {
+			out[mustAddress(s.Targets[j].Address)] = s.Name
+		}
+	}
+	return out
+}
+
+// refuseMovedServices reports services whose address another service gave up a moment ago. A VM that
+// has not heard of the change would pass their packets to the former service.
+func refuseMovedServices(doc *jsonc.Document, next *Manifest, left leftIndex) error {
+	for i := range next.Services {
+		s := &next.Services[i]
+		if !left.moved(mustAddress(s.Address), s.Name) {
+			continue
+		}
+		doc.Report(jsonc.Path{"services"}.Index(i).Field("address"),
+			"the address belongs to another service in force or did until a moment ago",
+			fmt.Sprintf("use a new address, or apply a manifest without the address and wait %s", leftKeep))
+	}
+	return doc.Err()
+}
--- /dev/null
+++ b/internal/contract/manifest.go
@@ -0,0 +1,107 @@
+package contract
+
+import (
+	"time"
+
+	"github.com/mangoweir/mangoweir/internal/jsonc"
+)
+
+// Manifest is a manifest as written. Pointers are fields that may be left out.
+type Manifest struct {
+	// Deployment is the name of the deployment.
+	Deployment string    `json:"deployment" expect:"the deployment's name as a string"`
+	Zones      []Zone    `json:"zones" expect:"an array of zones such as {\"name\": \"a\", \"state\": \"in\"}"`
+	Services   []Service `json:"services" expect:"an array of services"`
+	// Generated is written by the apply command; files of operators need not have it.
+	Generated *Generated `json:"generated,omitempty" expect:"nothing: remove the field, apply generates it"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name string `json:"name" expect:"the zone's name as a string"`
+	// State is StateIn or StateOut. A manifest without it keeps the state in force when applied, and
+	// means StateIn when there is none.
+	State *string `json:"state,omitempty" expect:"\"in\" or \"out\""`
+}
+
+// States of a zone in a manifest.
+const (
+	StateIn  = "in"
+	StateOut = "out"
+)
+
+// Service is a set of equivalent targets behind one address.
+type Service struct {
+	Name     string   `json:"name" expect:"the service's name as a string"`
+	Address  string   `json:"address" expect:"an IP address and port such as \"10.0.0.1:5683\""`
+	Contract Contract `json:"contract" expect:"an object with the contract's limits"`
+	Targets  []Target `json:"targets" expect:"an array of targets"`
+}
+
+// Contract holds the limits of a service. Absent limits have the defaults given here.
+type Contract struct {
+	// ColdLimit is the number of requests that a cold target bears; default 1.
+	ColdLimit *int `json:"coldLimit,omitempty" expect:"a number of requests from 1 up"`
+	// Ramp is the time in which a cold target reaches its slots; default 30 s.
+	Ramp *jsonc.Duration `json:"ramp,omitempty" expect:"a duration such as \"30s\""`
+	// Drain is the time that flows of a removed target may go on; default 60 s.
+	Drain *jsonc.Duration `json:"drain,omitempty" expect:"a duration such as \"60s\""`
+	// QueueLimit bounds the requests that wait per target; default 64.
+	QueueLimit *int `json:"queueLimit,omitempty" expect:"a number of requests from 1 up"`
+	// DefaultDeadline applies to requests that name none; default 5 s.
+	DefaultDeadline *jsonc.Duration `json:"defaultDeadline,omitempty" expect:"a duration such as \"5s\""`
+	MaxWait         MaxWait         `json:"maxWait" expect:"an object with a duration per class"`
+}
+
+// MaxWait bounds the estimated queueing time per class.
+type MaxWait struct {
+	// Feed is the bound for live feeds; default 1 s.
+	Feed *jsonc.Duration `json:"feed,omitempty" expect:"a duration such as \"1s\""`
+	// Read is the bound for reads; default 2 s.
+	Read *jsonc.Duration `json:"read,omitempty" expect:"a duration such as \"2s\""`
+	// Posting is the bound for non-idempotent requests; default 3 s.
+	Posting *jsonc.Duration `json:"posting,omitempty" expect:"a duration such as \"3s\""`
+	// Upload is the bound for uploads; default 8 s.
+	Upload *jsonc.Duration `json:"upload,omitempty" expect:"a duration such as \"8s\""`
+}
+
+// Target is a process that does the work of a service.
+type Target struct {
+	Name    string `json:"name" expect:"the target's name as a string"`
+	Address string `json:"address" expect:"an IP address and port such as \"10.0.0.1:5683\""`
+	Zone    string `json:"zone" expect:"the name of a declared zone"`
+	// Slots is the number of requests the target works on at a time when warm.
+	Slots int `json:"slots" expect:"a number of requests from 1 up"`
+	// Connections is the number of flows the target bears.
+	Connections int `json:"connections" expect:"a number of flows from 1 up"`
+	// Weight is the target's share of new flows relative to others; default 1.
+	Weight *float64 `json:"weight,omitempty" expect:"a number from 0 up, such as 1"`
+	// Instance changes when the process behind the name is another one; default empty.
+	Instance string `json:"instance,omitempty" expect:"the instance's name as a string"`
+	// State is TargetActive or TargetDraining; default TargetActive.
+	State *string `json:"state,omitempty" expect:"\"active\" or \"draining\""`
+	// ReportsLoad is true when the target's answers carry its load; default false.
+	ReportsLoad bool `json:"reportsLoad,omitempty" expect:"true or false"`
+}
+
+// States of a target in a manifest.
+const (
+	TargetActive   = "active"
+	TargetDraining = "draining"
+)
+
+// Generated is what the apply command adds to the text it stores.
+type Generated struct {
+	// Nonce identifies the apply that wrote the text, so that a lost answer can be cleared up.
+	Nonce string `json:"nonce"`
+	// Left lists addresses that a service recently gave up. Another service's target with such an
+	// address gets no packets for core.AddressQuarantine after acceptance.
+	Left []LeftAddress `json:"left,omitempty"`
+}
+
+// LeftAddress is an address, of a service or a target, that a service gave up.
+type LeftAddress struct {
+	Address string    `json:"address"`
+	Service string    `json:"service"`
+	At      time.Time `json:"at"`
+}
--- /dev/null
+++ b/internal/contract/stamp.go
@@ -0,0 +1,103 @@
+package contract
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/mangoweir/mangoweir/internal/jsonc"
+	"github.com/tailscale/hujson"
+)
+
+// generatedField is the name of the field that apply writes.
+const generatedField = "generated"
+
+// Stamp returns the text to be stored for an operator's text: the text with the field "generated",
+// which holds the nonce and the addresses that services gave up since prev. prev is the stored text
+// in force, or nil. The field goes on the line of the opening brace, so that the lines of the
+// operator's text keep their numbers. Errors are *jsonc.Problems.
+func Stamp(prev, text []byte, nonce string, now time.Time) ([]byte, error) {
+	source := Source(text)
+	next, err := Parse(storedName, source)
+	if err != nil {
+		return nil, err
+	}
+	var former *Manifest
+	if prev != nil {
+		// An unreadable manifest in force says nothing about addresses; the new one replaces it.
+		former, _ = Parse(storedName, prev)
+	}
+	gen := Generated{Nonce: nonce, Left: leftAddresses(former, next, now.UTC().Truncate(time.Millisecond))}
+	doc, err := jsonc.Parse(storedName, source)
+	if err != nil {
+		return nil, err
+	}
+	if err := refuseMovedServices(doc, next, gen.index()); err != nil {
+		return nil, err
+	}
+	out, err := insertGenerated(source, gen)
+	if err != nil {
+		return nil, err
+	}
+	// The field may push the text over the size limit.
+	if _, err := Parse(storedName, out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// insertGenerated adds the field behind the opening brace of a valid manifest.
+func insertGenerated(source []byte, gen Generated) ([]byte, error) {
+	field, err := json.Marshal(gen)
+	if err != nil {
+		return nil, err
+	}
+	root, err := hujson.Parse(source)
+	if err != nil {
+		return nil, err
+	}
+	at := root.StartOffset + 1
+	return splice(source, at, at, `"`+generatedField+`":`+string(field)+","), nil
+}
+
+// Source returns the operator's text of a stored text: Source(Stamp(text)) equals text. A text
+// without the field, or that is no JSON, is returned as it is.
+func Source(text []byte) []byte {
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return text
+	}
+	obj, ok := root.Value.(*hujson.Object)
+	if !ok {
+		return text
+	}
+	for i := range obj.Members {
+		if obj.Members[i].Name.Value.(hujson.Literal).String() == generatedField {
+			start, end := memberSpan(obj, i)
+			return splice(text, start, end, "")
+		}
+	}
+	return text
+}
+
+// memberSpan returns the bytes to cut for removing a member together with one comma.
+func memberSpan(obj *hujson.Object, i int) (start, end int) {
+	m := &obj.Members[i]
+	switch {
+	case i+1 < len(obj.Members):
+		next := &obj.Members[i+1].Name
+		return m.Name.StartOffset - len(m.Name.BeforeExtra), next.StartOffset - len(next.BeforeExtra)
+	case i > 0:
+		return obj.Members[i-1].Value.EndOffset, m.Value.EndOffset
+	default:
+		return m.Name.StartOffset, m.Value.EndOffset
+	}
+}
+
+// Nonce returns the nonce of a stored text, or "" when it has none.
+func Nonce(text []byte) string {
+	m, err := Parse(storedName, text)
+	if err != nil || m.Generated == nil {
+		return ""
+	}
+	return m.Generated.Nonce
+}
--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -108,6 +108,7 @@
 	if expect != "" {
 		remedy = "give " + expect
 	}
+	d.failed[path.pointer()] = true
 	d.addAt(v.StartOffset, KindWrongType, path.String(), d.excerpt(v), "not "+want, remedy)
 }
 
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -20,6 +20,8 @@
 	maxDepth = 32
 	// maxFound bounds the length of a value quoted in a problem, in characters.
 	maxFound = 60
+	// maxProblems bounds the problems listed, as a megabyte can hold a million of them.
+	maxProblems = 1000
 )
 
 // Document is a parsed file and the problems found in it so far.
@@ -29,11 +31,14 @@
 	root       hujson.Value
 	lineStarts []int
 	problems   Problems
+	// failed holds the pointers of the values of a wrong type.
+	failed map[string]bool
 }
 
 // Parse parses text; file names it in problems. The error is a *Problems.
 func Parse(file string, text []byte) (*Document, error) {
-	d := &Document{file: file, text: text, lineStarts: lineStarts(text)}
+	d := &Document{file: file, text: text, lineStarts: lineStarts(text),
+		failed: map[string]bool{}}
 	if len(text) > MaxSize {
 		d.addAt(0, KindTooLarge, "", "", fmt.Sprintf("the file has %d bytes", len(text)),
 			fmt.Sprintf("keep it within %d bytes", MaxSize))
@@ -70,6 +75,10 @@
 // Report adds a problem of kind KindInvalid with the value that path leads to. When the value is
 // missing, the position is that of the innermost object that exists.
 func (d *Document) Report(path Path, message, remedy string) {
+	if len(d.problems.List) >= maxProblems {
+		d.problems.More++
+		return
+	}
 	found := ""
 	ptr := path
 	v := d.root.Find(ptr.pointer())
@@ -83,6 +92,16 @@
 	d.addAt(v.StartOffset, KindInvalid, path.String(), found, message, remedy)
 }
 
+// Failed reports whether decoding found a value of the wrong type at path or around it.
+func (d *Document) Failed(path Path) bool {
+	for i := range len(path) + 1 {
+		if d.failed[path[:i].pointer()] {
+			return true
+		}
+	}
+	return false
+}
+
 // Span returns the byte offsets of the value that path leads to.
 func (d *Document) Span(path Path) (start, end int, ok bool) {
 	v := d.root.Find(path.pointer())
@@ -94,6 +113,10 @@
 
 // addAt adds a problem at a byte offset.
 func (d *Document) addAt(off int, kind Kind, field, found, message, remedy string) {
+	if len(d.problems.List) >= maxProblems {
+		d.problems.More++
+		return
+	}
 	line, column := d.position(off)
 	d.problems.List = append(d.problems.List, Problem{File: d.file, Line: line, Column: column,
 		Kind: kind, Field: field, Found: found, Message: message, Remedy: remedy})
--- a/internal/jsonc/problem.go
+++ b/internal/jsonc/problem.go
@@ -56,7 +56,11 @@
 }
 
 // Problems is the error of a file with at least one fault, in order of position.
-type Problems struct{ List []Problem }
+type Problems struct {
+	List []Problem
+	// More counts problems beyond those listed.
+	More int
+}
 
 // Error returns one line per problem.
 func (p *Problems) Error() string {
@@ -64,6 +68,9 @@
 	for i := range p.List {
 		lines[i] = p.List[i].Error()
 	}
+	if p.More > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more problems", p.More))
+	}
 	return strings.Join(lines, "\n")
 }
 
