--- /dev/null
+++ b/internal/coretest/network.go
@@ -0,0 +1,78 @@
+package coretest
+
+import (
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/wire"
+)
+
+// dial keeps trying to connect a VM with a peer until the VM gives up or ends.
+func (w *World) dial(m *machine, inc core.Incarnation, peer core.VMName) {
+	if m.inc != inc || !m.alive || !m.dials[peer] {
+		return
+	}
+	p := w.vms[peer]
+	switch {
+	case m.links[peer] || p == nil:
+	case w.severed(m, string(peer), p.info.Zone) || p.silent:
+	case !p.alive:
+		w.input(m.info.Name, core.LinkEvent{Peer: peer, State: core.LinkRefused})
+	default:
+		w.openLink(m, p)
+	}
+	w.After(redialFast, func() { w.dial(m, inc, peer) })
+}
+
+// openLink connects two VMs.
+func (w *World) openLink(a, b *machine) {
+	for _, pair := range [2][2]*machine{{a, b}, {b, a}} {
+		if pair[0].links[pair[1].info.Name] {
+			continue
+		}
+		pair[0].links[pair[1].info.Name] = true
+		w.input(pair[0].info.Name, core.LinkEvent{Peer: pair[1].info.Name, State: core.LinkUp})
+	}
+}
+
+// closeLink takes a VM's link to a peer away.
+func (w *World) closeLink(name, peer core.VMName) {
+	m := w.vms[name]
+	delete(m.links, peer)
+	w.After(linkLatency, func() {
+		w.input(name, core.LinkEvent{Peer: peer, State: core.LinkDown})
+	})
+}
+
+// sendPeer delivers a message in order, if the link stands.
+func (w *World) sendPeer(m *machine, a core.SendPeer) {
+	w.count(m, a.Msg)
+	p := w.vms[a.To]
+	if p == nil || !m.links[a.To] || w.severed(m, string(a.To), p.info.Zone) {
+		return
+	}
+	key := linkKey{m.info.Name, a.To}
+	at := max(w.now+linkLatency, w.lastAt[key])
+	w.lastAt[key] = at
+	inc := p.inc
+	w.At(at, func() {
+		if p.inc == inc {
+			w.input(a.To, core.PeerMessage{From: m.info.Name, Msg: a.Msg})
+		}
+	})
+}
+
+// yamuxHeader is the framing that a link adds to each message, with its length prefix.
+const yamuxHeader = 12 + 4
+
+// count adds a message to the sender's counters.
+func (w *World) count(m *machine, msg core.Message) {
+	switch msg.(type) {
+	case *core.ForwardRequest, *core.RecordStarted, *core.RecordAck, *core.RequestOutcome,
+		*core.FlowLearned:
+		m.TrafficMessages++
+		return
+	}
+	m.ControlMessages++
+	if b, err := wire.Encode(msg, wire.MaxVersion); err == nil {
+		m.ControlBytes += uint64(len(b) + yamuxHeader)
+	}
+}
--- /dev/null
+++ b/internal/coretest/stats.go
@@ -0,0 +1,95 @@
+package coretest
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// Stats counts outcomes at callers and targets.
+type Stats struct {
+	// Logical requests by class.
+	Offered, Done, Unknown, GaveUp, TimedOut, ComeBacks [core.NumClasses]uint64
+	// Refused counts refusals sent by VMs, by reason.
+	Refused [core.NumReasons]uint64
+	Events  [core.NumEvents]uint64
+
+	BrokenFlows, Doubles, UntrueNotRun, WrongAnswers, WrongService uint64
+	ZoneOutPackets, LeavingWork                                    uint64
+	// FeedSeconds are seconds in which a feed should have been live, FeedLive those it was.
+	FeedSeconds, FeedLive uint64
+	// Violations describes each broken promise.
+	Violations []string
+
+	runs    map[runKey]int
+	notRun  map[runKey]bool
+	latency [core.NumClasses]*hdrhistogram.Histogram
+}
+
+type runKey struct {
+	flow core.FlowKey
+	id   core.RequestID
+}
+
+// executed records that a request ran at a target.
+func (w *World) executed(t *Target, r core.Request) {
+	if r.Idempotent || r.Class != core.ClassPosting {
+		return
+	}
+	s := &w.Stats
+	if s.runs == nil {
+		s.runs = map[runKey]int{}
+	}
+	key := runKey{r.Flow, r.ID}
+	s.runs[key]++
+	if s.runs[key] > 1 {
+		s.Doubles++
+		w.violate("posting %v of %v ran %d times, last on %s", r.ID.Lo, r.Flow.CallerAddr(), s.runs[key], t.Target.Name)
+	}
+	if s.notRun[key] {
+		s.UntrueNotRun++
+		w.violate("posting %v of %v ran after \"not run\", on %s", r.ID.Lo, r.Flow.CallerAddr(), t.Target.Name)
+	}
+}
+
+// toldRun checks a refusal of a posting against what ran.
+func (w *World) toldRun(a core.RefuseCaller) {
+	if a.Run != core.NotRun {
+		return
+	}
+	s := &w.Stats
+	key := runKey{a.Flow, a.ID}
+	if s.runs[key] > 0 {
+		s.UntrueNotRun++
+		w.violate("posting %v of %v was refused as \"not run\" (%s) after it ran", a.ID.Lo, a.Flow.CallerAddr(), a.Reason)
+	}
+	if s.notRun == nil {
+		s.notRun = map[runKey]bool{}
+	}
+	s.notRun[key] = true
+}
+
+func (s *Stats) addLatency(c core.Class, d time.Duration) {
+	if s.latency[c] == nil {
+		s.latency[c] = hdrhistogram.New(1, 60_000_000, 3)
+	}
+	_ = s.latency[c].RecordValue(max(d.Microseconds(), 1))
+}
+
+// Latency returns a quantile, in percent, of the time from offering a request to its answer.
+func (s *Stats) Latency(c core.Class, percent float64) time.Duration {
+	if s.latency[c] == nil {
+		return 0
+	}
+	return time.Duration(s.latency[c].ValueAtQuantile(percent)) * time.Microsecond
+}
+
+// Goodput returns the share of offered requests of a class that were answered.
+func (s *Stats) Goodput(c core.Class) float64 {
+	if s.Offered[c] == 0 {
+		return 1
+	}
+	return float64(s.Done[c]) / float64(s.Offered[c])
+}
--- /dev/null
+++ b/internal/daemon/mailbox.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// mailboxLimit bounds the external inputs that wait for one thread. At 20 µs an input, a full
+// mailbox is 80 ms of work; packets beyond it would be answered too late.
+const mailboxLimit = 4096
+
+// mailbox is the input queue of one thread. Internal inputs are never dropped, because they carry
+// the state that control and traffic exchange; packets beyond mailboxLimit are.
+type mailbox struct {
+	mu      sync.Mutex
+	wake    chan struct{}
+	queue   []core.Input
+	packets int
+	closed  bool
+	dropped atomic.Uint64
+}
+
+func newMailbox() *mailbox { return &mailbox{wake: make(chan struct{}, 1)} }
+
+// put appends an input. It reports false when the input was dropped.
+func (m *mailbox) put(in core.Input) bool {
+	packet := isPacket(in)
+	m.mu.Lock()
+	if m.closed || packet && m.packets >= mailboxLimit {
+		m.mu.Unlock()
+		m.dropped.Add(1)
+		return false
+	}
+	m.queue = append(m.queue, in)
+	if packet {
+		m.packets++
+	}
+	m.mu.Unlock()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// take returns all waiting inputs; it blocks until there is one, and returns nil when closed.
+func (m *mailbox) take(spare []core.Input) []core.Input {
+	for {
+		m.mu.Lock()
+		if len(m.queue) > 0 {
+			batch := m.queue
+			m.queue = spare[:0]
+			m.packets = 0
+			m.mu.Unlock()
+			return batch
+		}
+		closed := m.closed
+		m.mu.Unlock()
+		if closed {
+			return nil
+		}
+		<-m.wake
+	}
+}
+
+// close ends take once the queue is empty.
+func (m *mailbox) close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// isPacket reports whether an input comes from callers and may be dropped under overload.
+func isPacket(in core.Input) bool {
+	_, ok := in.(core.CallerRequest)
+	return ok
+}
--- /dev/null
+++ b/internal/daemon/ports.go
@@ -0,0 +1,165 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/carrier"
+)
+
+// ports connects the core with the fabric and the targets over UDP. It keeps no state but the
+// sockets, counters and the outstanding probes.
+type ports struct {
+	fabric, targets *carrier.Socket
+	// fabricReturn is where answers to callers go.
+	fabricReturn netip.AddrPort
+	snapshot     *atomic.Pointer[core.Snapshot]
+	post         func(core.Input) bool
+	report       *reporter
+	hops         *hops
+	probes       probes
+	buffers      sync.Pool
+}
+
+// newPorts opens the sockets.
+func newPorts(fabric, targets, fabricReturn netip.AddrPort) (*ports, error) {
+	p := &ports{fabricReturn: fabricReturn}
+	p.buffers.New = func() any { b := make([]byte, 0, carrier.MaxDatagram); return &b }
+	var err error
+	if p.fabric, err = carrier.Listen(fabric); err != nil {
+		return nil, err
+	}
+	if p.targets, err = carrier.Listen(targets); err != nil {
+		_ = p.fabric.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// serve reads both sockets until the context ends.
+func (p *ports) serve(ctx context.Context, wg *sync.WaitGroup) {
+	wg.Go(func() { _ = p.fabric.Serve(ctx, p.fromFabric) })
+	wg.Go(func() { _ = p.targets.Serve(ctx, p.fromTarget) })
+}
+
+// fromFabric handles a caller's datagram.
+func (p *ports) fromFabric(data []byte, _ netip.AddrPort) {
+	req, service, err := carrier.DecodeRequest(data)
+	if err != nil {
+		p.report.badInput("fabric", err)
+		return
+	}
+	id, ok := p.serviceAt(service)
+	if !ok {
+		p.report.dropped("unknown_service")
+		return
+	}
+	req.Flow.Service = id
+	req.Trace = p.hops.ingress(&req)
+	if !p.post(core.CallerRequest{Request: req}) {
+		p.report.dropped("mailbox_full")
+	}
+}
+
+// fromTarget handles a target's datagram.
+func (p *ports) fromTarget(data []byte, from netip.AddrPort) {
+	if carrier.IsProbe(data) {
+		p.fromProbe(data)
+		return
+	}
+	answer, service, err := carrier.DecodeAnswer(data, from)
+	if err != nil {
+		p.report.badInput("target", err)
+		return
+	}
+	id, ok := p.serviceAt(service)
+	if !ok {
+		p.report.dropped("unknown_service")
+		return
+	}
+	answer.Flow.Service = id
+	p.post(answer)
+}
+
+// serviceAt returns the service behind an address of the configuration in force.
+func (p *ports) serviceAt(addr netip.AddrPort) (core.ServiceID, bool) {
+	snap := p.snapshot.Load()
+	if snap == nil || snap.Config == nil {
+		return 0, false
+	}
+	for i := range snap.Config.Services {
+		if s := &snap.Config.Services[i]; s.Addr == addr {
+			return s.ID, true
+		}
+	}
+	return 0, false
+}
+
+// serviceAddr returns the address of a service of the configuration in force.
+func (p *ports) serviceAddr(id core.ServiceID) (netip.AddrPort, bool) {
+	snap := p.snapshot.Load()
+	if snap == nil || snap.Config == nil {
+		return netip.AddrPort{}, false
+	}
+	s := snap.Config.Service(id)
+	if s == nil {
+		return netip.AddrPort{}, false
+	}
+	return s.Addr, true
+}
+
+// sendTarget sends an attempt or its cancellation.
+func (p *ports) sendTarget(a core.SendTarget) {
+	p.hops.toTarget(&a)
+	p.send(p.targets, a.Addr, a.Service, func(dst []byte, service netip.AddrPort) ([]byte, error) {
+		return carrier.AppendSend(dst, &a, service)
+	})
+}
+
+// answerCaller sends a target's answer to a caller.
+func (p *ports) answerCaller(a core.AnswerCaller) {
+	p.hops.answer(&a)
+	p.send(p.fabric, p.fabricReturn, a.Flow.Service, func(dst []byte, service netip.AddrPort) ([]byte, error) {
+		return carrier.AppendAnswer(dst, &a, service, carrier.ObserveValue(time.Now()))
+	})
+}
+
+// refuseCaller sends a refusal to a caller.
+func (p *ports) refuseCaller(a core.RefuseCaller) {
+	p.hops.refuse(&a)
+	p.report.refused(a.Reason, a.Class, a.Run)
+	p.send(p.fabric, p.fabricReturn, a.Flow.Service, func(dst []byte, service netip.AddrPort) ([]byte, error) {
+		return carrier.AppendRefusal(dst, &a, service)
+	})
+}
+
+// send encodes a datagram that names a service's address and writes it.
+func (p *ports) send(s *carrier.Socket, to netip.AddrPort, service core.ServiceID,
+	encode func([]byte, netip.AddrPort) ([]byte, error)) {
+	addr, ok := p.serviceAddr(service)
+	if !ok {
+		p.report.dropped("unknown_service")
+		return
+	}
+	buf := p.buffers.Get().(*[]byte)
+	defer p.buffers.Put(buf)
+	data, err := encode((*buf)[:0], addr)
+	if err != nil {
+		p.report.badInput("encode", err)
+		return
+	}
+	*buf = data
+	if err := s.Write(data, to); err != nil {
+		p.report.dropped("write")
+	}
+}
+
+// close closes both sockets.
+func (p *ports) close() {
+	_ = p.fabric.Close()
+	_ = p.targets.Close()
+}
--- /dev/null
+++ b/internal/daemon/runtime.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/control"
+	"github.com/mangoweir/mangoweir/core/traffic"
+	"github.com/mangoweir/mangoweir/core/vm"
+)
+
+// tickInterval is the time between two ticks of the core, which asks for at least one every 50 ms.
+const tickInterval = 20 * time.Millisecond
+
+// handler is a part of the decision core with a single writer.
+type handler interface {
+	Handle(in core.Input, now time.Duration, out []core.Action) []core.Action
+}
+
+// performer carries out the actions that leave the VM. Its methods must not block.
+type performer interface {
+	perform(a core.Action)
+}
+
+// runtime runs the decision core of one VM: a goroutine for control and one per traffic shard. It
+// owns no state but the mailboxes.
+type runtime struct {
+	self    core.VMName
+	start   time.Time
+	control *mailbox
+	shards  []*mailbox
+	out     performer
+	wg      sync.WaitGroup
+}
+
+// newRuntime starts the goroutines of a VM's core.
+func newRuntime(opts control.Options, shards int, out performer) *runtime {
+	r := &runtime{self: opts.Self, start: time.Now(), out: out}
+	r.control = r.run(control.New(opts))
+	for i := range shards {
+		r.shards = append(r.shards, newMailbox())
+		s := traffic.New(traffic.Options{Self: opts.Self, Incarnation: opts.Incarnation,
+			FirstToken: uint32(i), TokenStep: uint32(shards), Seed: opts.Seed + uint64(i)})
+		r.loop(s, r.shards[i])
+	}
+	return r
+}
+
+// now returns the time since the runtime started, on the monotonic clock.
+func (r *runtime) now() time.Duration { return time.Since(r.start) }
+
+// run starts a goroutine for a part of the core and returns its mailbox.
+func (r *runtime) run(h handler) *mailbox {
+	m := newMailbox()
+	r.loop(h, m)
+	return m
+}
+
+// loop hands the inputs of a mailbox to a part of the core, one at a time.
+func (r *runtime) loop(h handler, m *mailbox) {
+	r.wg.Go(func() {
+		var batch []core.Input
+		var actions []core.Action
+		for {
+			batch = m.take(batch)
+			if batch == nil {
+				return
+			}
+			for i, in := range batch {
+				actions = h.Handle(in, r.now(), actions[:0])
+				for _, a := range actions {
+					r.act(a)
+				}
+				batch[i] = nil
+			}
+		}
+	})
+}
+
+// act delivers an action inside the VM or hands it to the performer.
+func (r *runtime) act(a core.Action) {
+	in := vm.Internal(a, r.self)
+	if in == nil {
+		r.out.perform(a)
+		return
+	}
+	if t, ok := a.(core.ToShard); ok {
+		r.shards[vm.TargetShard(t.Target, len(r.shards))].put(in)
+		return
+	}
+	r.post(in)
+}
+
+// post hands an input to the threads that it is for. It reports false when it was dropped.
+func (r *runtime) post(in core.Input) bool {
+	dest := vm.Route(in, len(r.shards))
+	ok := true
+	if dest.Control {
+		ok = r.control.put(in)
+	}
+	switch {
+	case dest.AllShards:
+		for _, s := range r.shards {
+			ok = s.put(in) && ok
+		}
+	case dest.Shard >= 0:
+		ok = r.shards[dest.Shard].put(in)
+	}
+	return ok
+}
+
+// tick posts ticks until the context ends.
+func (r *runtime) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.post(core.Tick{})
+		}
+	}
+}
+
+// close ends all threads after they have handled what waits.
+func (r *runtime) close() {
+	r.control.close()
+	for _, s := range r.shards {
+		s.close()
+	}
+	r.wg.Wait()
+}
