Add the target stand-in

Cause: promises about cold starts, doubled requests and shedding can only be judged at targets that behave like real ones. Ruled out: a server of go-coap, which answers the UDP source and knows no PROXY header; message ids for recognizing repeats, as all VMs share a caller's ids. Change: internal/standin/target with slots, connections, cold start (shed or fall over), drain flag, cancellation, deadlines, load reports, live feeds, block-wise uploads, faults of answers, a lying health endpoint, and a ledger of non-idempotent requests that the targets of a service share.

--- /dev/null
+++ b/internal/standin/target/cold.go
@@ -0,0 +1,35 @@
+package target
+
+import "time"
+
+// cold reports whether the target is in its cold start.
+func (t *Target) cold(now time.Time) bool {
+	return !t.coldSince.IsZero() && now.Sub(t.coldSince) < t.opts.Cold.Warmup
+}
+
+// capacity returns the number of requests that the target bears.
+func (t *Target) capacity(now time.Time) int {
+	if !t.cold(now) {
+		return t.opts.Slots
+	}
+	cold := t.opts.Cold
+	steps := t.opts.Slots - cold.Bears
+	return cold.Bears + int(int64(steps)*int64(now.Sub(t.coldSince))/int64(cold.Warmup))
+}
+
+// countLoad records the work in flight when a request arrives, including that request.
+func (t *Target) countLoad(now time.Time) {
+	inFlight := len(t.work) + 1
+	t.stats.Peak = max(t.stats.Peak, inFlight)
+	if !t.cold(now) {
+		return
+	}
+	t.stats.ColdPeak = max(t.stats.ColdPeak, inFlight)
+	if inFlight <= t.capacity(now) {
+		return
+	}
+	t.stats.ColdBreaches++
+	if !t.coldTold.IsZero() && now.Sub(t.coldTold) > coldNotice {
+		t.stats.ColdBreachesTold++
+	}
+}
--- /dev/null
+++ b/internal/standin/target/receive.go
@@ -0,0 +1,160 @@
+package target
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/carrier"
+)
+
+// attempt is a request as it arrived at the target.
+type attempt struct {
+	key     workKey
+	service netip.AddrPort
+	req     core.Request
+	msg     message.Message
+}
+
+// receive handles a datagram.
+func (t *Target) receive(data []byte, from netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.up {
+		return
+	}
+	if carrier.IsProbe(data) {
+		t.answerProbe(data, from)
+		return
+	}
+	req, service, err := carrier.DecodeRequest(data)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	t.stats.Packets++
+	if !t.zoneOut.IsZero() && now.Sub(t.zoneOut) > core.ZoneOutGrace {
+		t.stats.PacketsWhileOut++
+	}
+	if t.opts.Service.IsValid() && service != t.opts.Service {
+		t.stats.Strays++
+		return
+	}
+	// The payload is a copy, so the message does not share memory with the socket's buffer.
+	msg, err := carrier.ParseMessage(req.Payload)
+	if err != nil {
+		return
+	}
+	a := attempt{key: workKey{caller: req.Flow.CallerAddr()}, service: service, req: req, msg: msg}
+	t.handle(a, from, now)
+}
+
+// handle decides about a request or a cancellation.
+func (t *Target) handle(a attempt, from netip.AddrPort, now time.Time) {
+	if !t.learnFlow(a.key.caller, from, now) {
+		t.flows[a.key.caller] = &flow{vm: from}
+		t.shed(a)
+		delete(t.flows, a.key.caller)
+		return
+	}
+	if a.req.Method == core.MethodCancel {
+		t.cancelMessage(a.key.caller, uint16(a.msg.MessageID))
+		return
+	}
+	if len(a.msg.Token) != carrier.TokenSize {
+		return
+	}
+	a.key.token = core.AttemptToken(binary.BigEndian.Uint64(a.msg.Token))
+	if a.req.Method == core.MethodUnsubscribe {
+		t.unsubscribe(a)
+		return
+	}
+	if t.duplicate(a) {
+		t.stats.Duplicates++
+		return
+	}
+	t.admit(a, now)
+}
+
+// learnFlow notes the VM that packets of a caller come from; it reports false when the caller is new
+// and the target has no connection left.
+func (t *Target) learnFlow(caller, from netip.AddrPort, now time.Time) bool {
+	if f := t.flows[caller]; f != nil {
+		f.vm, f.seen = from, now
+		return true
+	}
+	if len(t.flows) >= t.opts.Connections {
+		t.expireFlows(now)
+	}
+	if len(t.flows) >= t.opts.Connections {
+		return false
+	}
+	t.flows[caller] = &flow{vm: from, seen: now}
+	if !t.draining.IsZero() && now.Sub(t.draining) > LeaveGrace {
+		t.stats.NewFlowsWhileDraining++
+	}
+	return true
+}
+
+// expireFlows forgets the flows that are idle and have no feed.
+func (t *Target) expireFlows(now time.Time) {
+	feeding := map[netip.AddrPort]bool{}
+	for k := range t.feeds {
+		feeding[k.caller] = true
+	}
+	for caller, f := range t.flows {
+		if now.Sub(f.seen) > core.FlowIdle && !feeding[caller] {
+			delete(t.flows, caller)
+		}
+	}
+}
+
+// duplicate reports whether an attempt has been seen before, and repeats its answer if there is one. A
+// feed that is registered again with the same token goes on, at the VM that sent the registration.
+func (t *Target) duplicate(a attempt) bool {
+	if t.work[a.key] != nil {
+		return true
+	}
+	if a.req.Method == core.MethodSubscribe {
+		f := t.feeds[a.key]
+		if f != nil {
+			t.notify(f)
+		}
+		return f != nil
+	}
+	datagram, ok := t.answered.find(a.key)
+	if ok {
+		t.write(a.key.caller, datagram)
+	}
+	return ok
+}
+
+// answerProbe answers a read of the health and load endpoint.
+func (t *Target) answerProbe(data []byte, from netip.AddrPort) {
+	_, body, err := carrier.SplitDatagram(data)
+	if err != nil || t.behavior.Health == LieSilent {
+		return
+	}
+	in, err := carrier.ParseMessage(body)
+	if err != nil {
+		return
+	}
+	out := message.Message{Type: message.NonConfirmable, Code: codes.Content, Token: in.Token, MessageID: in.MessageID}
+	report := t.report()
+	if t.behavior.Health == LieHealthy {
+		report.Load = core.LoadReport{Slots: report.Load.Slots, Boot: report.Load.Boot}
+	}
+	if t.behavior.Health == LieFailing {
+		out.Code = codes.ServiceUnavailable
+	}
+	if t.opts.ReportsLoad {
+		carrier.AddOption(&out, carrier.OptionLoadReport, report.Encode())
+	}
+	if b, err := carrier.AppendDatagram(nil, carrier.Header{Local: true}, &out); err == nil {
+		_ = t.socket.Write(b, from)
+	}
+}
--- /dev/null
+++ b/internal/standin/target/work.go
@@ -0,0 +1,215 @@
+package target
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/carrier"
+)
+
+// work is a request that occupies a slot.
+type work struct {
+	attempt
+	timer *time.Timer
+	takes time.Duration
+}
+
+// admit takes a request on, or refuses it when all slots are in use.
+func (t *Target) admit(a attempt, now time.Time) {
+	t.countLoad(now)
+	if len(t.work) >= t.capacity(now) {
+		if t.cold(now) && t.opts.Cold.FallOver {
+			t.stats.FellOver++
+			t.stop(t.opts.Cold.Restart)
+			return
+		}
+		t.shed(a)
+		return
+	}
+	t.stats.Requests[a.req.Class]++
+	w := &work{attempt: a, takes: t.serviceTime(a.req.Class)}
+	t.work[a.key] = w
+	end := t.finish
+	wait := w.takes
+	if a.req.Deadline > 0 && a.req.Deadline < wait {
+		wait, end = a.req.Deadline, t.expire
+	}
+	boot := t.boot
+	w.timer = time.AfterFunc(wait, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.boot == boot && t.work[a.key] == w {
+			delete(t.work, a.key)
+			end(w)
+		}
+	})
+}
+
+// serviceTime draws the time that a request takes.
+func (t *Target) serviceTime(c core.Class) time.Duration {
+	mean := t.opts.ServiceTime[c]
+	return time.Duration(min(t.rng.ExpFloat64(), maxServiceFactor) * float64(mean))
+}
+
+// finish ends a request that ran.
+func (t *Target) finish(w *work) {
+	t.stats.Answered++
+	t.stats.BusyTime += w.takes
+	reply := t.reply(&w.attempt)
+	switch {
+	case w.req.Method == core.MethodSubscribe:
+		t.subscribe(w, reply)
+	case w.req.Sticky:
+		t.takeBlock(w, reply)
+	case !w.req.Idempotent:
+		t.opts.Ledger.Record(reply.Key)
+		t.answer(&w.attempt, codes.Changed, reply)
+	case w.msg.Code == codes.GET && path(&w.msg) == PathLedger:
+		reply.Runs = t.opts.Ledger.Runs(query(&w.msg, QueryKey))
+		t.answer(&w.attempt, codes.Content, reply)
+	case w.msg.Code == codes.GET:
+		t.answer(&w.attempt, codes.Content, reply)
+	default:
+		t.answer(&w.attempt, codes.Changed, reply)
+	}
+}
+
+// expire ends a request whose deadline passed before it ran; nobody waits for an answer.
+func (t *Target) expire(*work) { t.stats.Expired++ }
+
+// cancelMessage withdraws the request with the given message id, or ends the feed whose notification
+// had it.
+func (t *Target) cancelMessage(caller netip.AddrPort, mid uint16) {
+	for key, w := range t.work {
+		if key.caller != caller || uint16(w.msg.MessageID) != mid {
+			continue
+		}
+		w.timer.Stop()
+		delete(t.work, key)
+		t.confirmCancel(&w.attempt)
+		return
+	}
+	for key, f := range t.feeds {
+		if key.caller == caller && f.lastMID == mid {
+			t.endFeed(key)
+			return
+		}
+	}
+}
+
+// confirmCancel answers a request that was withdrawn before it ran. Without load reports there is no
+// way to say so.
+func (t *Target) confirmCancel(a *attempt) {
+	t.stats.Cancelled++
+	if !t.opts.ReportsLoad {
+		return
+	}
+	report := t.report()
+	report.Cancelled = true
+	t.respond(a, codes.ServiceUnavailable, t.reply(a).encode(), report)
+}
+
+// shed refuses a request without running it.
+func (t *Target) shed(a attempt) {
+	t.stats.Shed++
+	if len(a.msg.Token) != carrier.TokenSize {
+		return
+	}
+	report := t.report()
+	report.Shed = true
+	code := codes.ServiceUnavailable
+	if !t.opts.ReportsLoad {
+		code = codes.TooManyRequests
+	}
+	t.respond(&a, code, nil, report)
+}
+
+// reply returns the reply to a request with the fields that all replies have.
+func (t *Target) reply(a *attempt) Reply {
+	r := Reply{Target: t.opts.Name, Zone: t.opts.Zone, Boot: t.boot, Nonce: query(&a.msg, QueryNonce)}
+	if len(a.msg.Payload) > 0 {
+		r.Key = ContentKey(a.msg.Payload)
+	}
+	return r
+}
+
+// report returns the target's load report.
+func (t *Target) report() carrier.Report {
+	return carrier.Report{Load: core.LoadReport{
+		InUse:    uint16(len(t.work)),
+		Slots:    uint16(t.opts.Slots),
+		Cold:     t.cold(time.Now()),
+		Draining: !t.draining.IsZero(),
+		Boot:     t.boot,
+	}}
+}
+
+// answer answers a request that ran and remembers the answer for duplicates.
+func (t *Target) answer(a *attempt, code codes.Code, r Reply, opts ...message.Option) {
+	datagram := t.respond(a, code, r.encode(), t.report(), opts...)
+	t.answered.add(a.key, datagram)
+}
+
+// respond sends a response and returns its datagram.
+func (t *Target) respond(a *attempt, code codes.Code, payload []byte, report carrier.Report, opts ...message.Option) []byte {
+	m := message.Message{Type: message.NonConfirmable, Code: code, Token: a.msg.Token, MessageID: int32(t.messageID()), Payload: payload}
+	for _, o := range opts {
+		carrier.AddOption(&m, o.ID, o.Value)
+	}
+	if t.opts.ReportsLoad {
+		carrier.AddOption(&m, carrier.OptionLoadReport, report.Encode())
+		if report.Load.Cold && t.coldTold.IsZero() {
+			t.coldTold = time.Now()
+		}
+	}
+	datagram, err := carrier.AppendDatagram(nil, carrier.Header{Source: a.service, Destination: a.key.caller}, &m)
+	if err != nil {
+		return nil
+	}
+	t.send(a.key.caller, datagram)
+	return datagram
+}
+
+// messageID returns the next message id.
+func (t *Target) messageID() uint16 {
+	t.nextMID++
+	return t.nextMID
+}
+
+// send writes a response as the target's behavior says.
+func (t *Target) send(caller netip.AddrPort, datagram []byte) {
+	b := t.behavior
+	if t.roll(b.LoseRate) {
+		return
+	}
+	copies := 1
+	if t.roll(b.DuplicateRate) {
+		copies = 2
+	}
+	for range copies {
+		if !t.roll(b.DelayRate) {
+			t.write(caller, datagram)
+			continue
+		}
+		time.AfterFunc(b.Delay, func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.write(caller, datagram)
+		})
+	}
+}
+
+// write sends a datagram to the VM that was last heard from for a caller.
+func (t *Target) write(caller netip.AddrPort, datagram []byte) {
+	if f := t.flows[caller]; f != nil {
+		// A VM that has gone refuses packets; its successor asks again.
+		_ = t.socket.Write(datagram, f.vm)
+	}
+}
+
+// roll reports true with the given probability.
+func (t *Target) roll(rate float64) bool { return rate > 0 && t.rng.Float64() < rate }
