Add client of the object API and its in-memory stand-in

VMs and operators' commands need versions, conditional updates, watches and errors that tell apart what took effect, what did not and what is unknown. A conditional write is not repeated once it may have reached the platform: a repetition after a lost answer would report a conflict with itself.

Values travel as raw bodies with the version as ETag. JSON strings were ruled out for values, as escaping would double a large manifest. Proxy offers the same shape on an entry VM, without unconditional writes.

--- /dev/null
+++ b/internal/platform/doc.go
@@ -0,0 +1,42 @@
+// Package platform is the client of the platform's object API. Entry VMs offer part of the same API
+// on their HTTP port (see Proxy), so that the client works with both.
+//
+// The package owns no state but its rate limit and connections. A Client may be used by several
+// goroutines.
+//
+// # Wire shape
+//
+// All paths are below the base URL. Values of objects are opaque bytes of at most MaxValue, sent as
+// request and response bodies. All other bodies are JSON. A key consists of segments of letters,
+// digits, '.', '-' and '_', separated by '/'. Versions count from 1 for each object; version 0 means
+// that the object does not exist.
+//
+//	GET  /v1/objects/{key}      200, the value; header ETag: "<version>". 404 when there is none.
+//	PUT  /v1/objects/{key}      Body: the value. Header If-Match: "<version>" makes the write
+//	                            conditional; "0" creates the object. Without If-Match the write is
+//	                            unconditional. 200 {"version": 8}.
+//	GET  /v1/heads?key=a&key=b  200 {"heads": [{"key": "a", "version": 7}, ...]} in the order asked
+//	                            for, at most MaxHeads keys.
+//	GET  /v1/watch/{key}?after=7&waitMillis=20000
+//	                            Answers as GET of the object as soon as its version is above after,
+//	                            or 204 when waitMillis pass before, at most MaxWatch.
+//	GET  /v1/vms                200 {"vms": [{"name", "zone", "addr", "leaving"}, ...]}; the list lags.
+//	GET  /v1/status             Entry VMs only. 200 {"generation": 7, "vms": [{"name", "zone",
+//	                            "generation", "state", "heardMillis"}, ...]}.
+//
+// Errors have a status of 400 or above and the body
+//
+//	{"error": {"kind": "conflict", "message": "...", "version": 8, "retryAfterMillis": 100}}
+//
+// with these kinds; version and retryAfterMillis are present where they apply:
+//
+//	400 bad-request      the call is malformed
+//	404 not-found        the object does not exist
+//	412 conflict         the version differs from If-Match; version is the present one
+//	413 too-large        the value exceeds MaxValue
+//	429 rate-limited     nothing was done; retryAfterMillis says when to come back
+//	503 unavailable      nothing was done
+//	504 unknown-outcome  the call may have taken effect
+//
+// Entry VMs offer GET and PUT of /v1/objects/ and GET /v1/status.
+package platform
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,217 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/mangoweir/mangoweir/core"
+	api "github.com/mangoweir/mangoweir/internal/platform"
+)
+
+// start returns a server and a client of it; direct calls and calls through a VM's proxy must agree.
+func start(t *testing.T, o api.Options) (*Server, *api.Client) {
+	s := New()
+	url, err := s.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s, client(t, url, o)
+}
+
+func client(t *testing.T, url string, o api.Options) *api.Client {
+	c, err := api.NewClient(url, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+var ctx = context.Background()
+
+// Guards against lost updates, and against a proxy that answers otherwise than the platform.
+func TestObjects(t *testing.T) {
+	s, direct := start(t, api.Options{Timeout: time.Second})
+	proxy := httptest.NewServer(api.Proxy(direct))
+	t.Cleanup(proxy.Close)
+	clients := []struct {
+		name string
+		c    *api.Client
+	}{{"platform", direct}, {"entry VM", client(t, proxy.URL, api.Options{Timeout: time.Second})}}
+	Convey("Objects are read and written under conditions", t, func() {
+		for _, cl := range clients {
+			key := "config/" + cl.name[:5]
+			o, err := cl.c.Get(ctx, key)
+			So(err, ShouldBeNil)
+			So(o.Version, ShouldEqual, 0)
+			v, err := cl.c.Put(ctx, key, []byte("one"), 0)
+			So(err, ShouldBeNil)
+			So(v, ShouldEqual, 1)
+			_, err = cl.c.Put(ctx, key, []byte("two"), 0)
+			var conflict *api.ConflictError
+			So(errors.As(err, &conflict), ShouldBeTrue)
+			So(conflict.Version, ShouldEqual, 1)
+			o, err = cl.c.Get(ctx, key)
+			So(err, ShouldBeNil)
+			So(string(o.Value), ShouldEqual, "one")
+			var tooLarge *api.TooLargeError
+			_, err = cl.c.Put(ctx, key, make([]byte, api.MaxValue+1), 1)
+			So(errors.As(err, &tooLarge), ShouldBeTrue)
+			full := bytes.Repeat([]byte{0xff}, api.MaxValue)
+			_, err = cl.c.Put(ctx, key, full, 1)
+			So(err, ShouldBeNil)
+			o, err = cl.c.Get(ctx, key)
+			So(err, ShouldBeNil)
+			So(bytes.Equal(o.Value, full), ShouldBeTrue)
+			_, err = cl.c.Get(ctx, "a/../b")
+			So(err, ShouldNotBeNil)
+		}
+		_, err := clients[1].c.Replace(ctx, "config/x", nil)
+		So(err, ShouldNotBeNil)
+		v, err := direct.Replace(ctx, "config/entry", []byte("r"))
+		So(err, ShouldBeNil)
+		So(v, ShouldEqual, 3)
+		heads, err := direct.Heads(ctx, "config/none", "config/entry")
+		So(err, ShouldBeNil)
+		So(heads, ShouldResemble, []api.Head{{Key: "config/none"}, {Key: "config/entry", Version: 3}})
+	})
+	Convey("A value beyond the limit is refused by the server as well", t, func() {
+		r := httptest.NewRequest("PUT", api.ObjectsPath+"a", bytes.NewReader(make([]byte, api.MaxValue+1)))
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		So(w.Code, ShouldEqual, http.StatusRequestEntityTooLarge)
+	})
+}
+
+// Guards against watches that miss a change or hang on after an outage began.
+func TestWatch(t *testing.T) {
+	Convey("A watch", t, func() {
+		s, c := start(t, api.Options{Timeout: time.Second})
+		Convey("returns a change that came before it", func() {
+			s.Set("k", []byte("v"))
+			o, ok, err := c.Watch(ctx, "k", 0, time.Minute)
+			So(err, ShouldBeNil)
+			So(ok, ShouldBeTrue)
+			So(o.Version, ShouldEqual, 1)
+		})
+		Convey("returns a change that comes later", func() {
+			time.AfterFunc(30*time.Millisecond, func() { s.Set("other", nil); s.Set("k", []byte("v")) })
+			o, ok, err := c.Watch(ctx, "k", 0, time.Minute)
+			So(err, ShouldBeNil)
+			So(ok, ShouldBeTrue)
+			So(string(o.Value), ShouldEqual, "v")
+		})
+		Convey("ends without a change", func() {
+			_, ok, err := c.Watch(ctx, "k", 0, 20*time.Millisecond)
+			So(err, ShouldBeNil)
+			So(ok, ShouldBeFalse)
+		})
+		Convey("is cut off by an outage", func() {
+			time.AfterFunc(30*time.Millisecond, func() { s.SetOutage(Cutting) })
+			_, _, err := c.Watch(ctx, "k", 0, time.Minute)
+			var unavailable *api.UnavailableError
+			So(errors.As(err, &unavailable), ShouldBeTrue)
+			So(s.Calls().Watch, ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against writes that are repeated although they may have taken effect, and against outcomes
+// that are reported as more certain than they are.
+func TestFaults(t *testing.T) {
+	Convey("With a fault", t, func() {
+		s, c := start(t, api.Options{Timeout: 150 * time.Millisecond})
+		var (
+			unknown     *api.UnknownOutcomeError
+			unavailable *api.UnavailableError
+			limited     *api.RateLimitedError
+		)
+		Convey("a lost answer leaves the outcome unknown and the write is not repeated", func() {
+			s.LoseAnswers(1)
+			_, err := c.Put(ctx, "k", []byte("v"), 0)
+			So(errors.As(err, &unknown), ShouldBeTrue)
+			So(s.Object("k").Version, ShouldEqual, 1)
+			So(s.Calls().Put, ShouldEqual, 1)
+		})
+		Convey("a read is repeated, a bounded number of times", func() {
+			s.SetOutage(Cutting)
+			_, err := c.Get(ctx, "k")
+			So(errors.As(err, &unavailable), ShouldBeTrue)
+			So(s.Calls().Failed, ShouldBeBetweenOrEqual, api.DefaultAttempts, 2*api.DefaultAttempts)
+		})
+		Convey("a write that was refused is repeated and has no effect", func() {
+			s.SetOutage(Refusing)
+			_, err := c.Put(ctx, "k", []byte("v"), 0)
+			So(errors.As(err, &unavailable), ShouldBeTrue)
+			So(s.Calls().Put, ShouldEqual, api.DefaultAttempts)
+			s.SetOutage(Up)
+			So(s.Object("k").Version, ShouldEqual, 0)
+		})
+		Convey("a silent or slow platform costs no more than the time-out", func() {
+			for _, set := range []func(){func() { s.SetOutage(Silent) }, func() { s.SetOutage(Up); s.SetDelay(time.Minute) }} {
+				set()
+				began := time.Now()
+				_, err := c.Put(ctx, "k", []byte("v"), 0)
+				So(errors.As(err, &unknown), ShouldBeTrue)
+				So(time.Since(began), ShouldBeLessThan, 2*time.Second)
+			}
+			So(s.Object("k").Version, ShouldEqual, 0)
+		})
+		Convey("a platform that is not there leaves no doubt about a write", func() {
+			So(s.Close(), ShouldBeNil)
+			_, err := c.Put(ctx, "k", []byte("v"), 0)
+			So(errors.As(err, &unavailable), ShouldBeTrue)
+		})
+		Convey("the rate limit is obeyed with the time it names", func() {
+			s.SetRate(20, 1)
+			for range 2 {
+				_, err := c.Get(ctx, "k")
+				So(err, ShouldBeNil)
+			}
+			So(s.Calls().Limited, ShouldBeGreaterThan, 0)
+			s.SetRate(0.001, 1)
+			_, err := c.Get(ctx, "k")
+			So(err, ShouldBeNil)
+			_, err = c.Put(ctx, "k", nil, 0)
+			So(errors.As(err, &limited), ShouldBeTrue)
+			So(limited.RetryAfter, ShouldEqual, retryAfter)
+		})
+		Convey("the client keeps to its own rate", func() {
+			slow := client(t, "http://"+s.listener.Addr().String(), api.Options{Rate: 20, Burst: 1})
+			began := time.Now()
+			for range 5 {
+				_, err := slow.Get(ctx, "k")
+				So(err, ShouldBeNil)
+			}
+			So(time.Since(began), ShouldBeGreaterThan, 190*time.Millisecond)
+		})
+	})
+}
+
+// Guards against a list of VMs that does not lag in tests that need it to.
+func TestVMs(t *testing.T) {
+	Convey("The list of VMs lags", t, func() {
+		s, c := start(t, api.Options{})
+		vm := core.ListedVM{Name: "a", Zone: "z", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Leaving: true}
+		s.SetVMs([]core.ListedVM{vm}, 0)
+		s.SetVMs(nil, time.Hour)
+		vms, err := c.VMs(ctx)
+		So(err, ShouldBeNil)
+		So(vms, ShouldResemble, []core.ListedVM{vm})
+		_, err = c.Status(ctx)
+		var bad *api.BadRequestError
+		So(errors.As(err, &bad), ShouldBeTrue)
+	})
+	Convey("The stand-in serves on loopback only", t, func() {
+		_, err := New().Start("0.0.0.0:0")
+		So(err, ShouldNotBeNil)
+	})
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,121 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/mangoweir/mangoweir/core"
+	api "github.com/mangoweir/mangoweir/internal/platform"
+)
+
+// headerTimeout bounds the time that a connection may take to send a request's header.
+const headerTimeout = 5 * time.Second
+
+// Server is the stand-in. It is an http.Handler.
+type Server struct {
+	mux *http.ServeMux
+
+	mu      sync.Mutex
+	objects map[string]api.Object
+	// changed is closed and replaced with each write.
+	changed chan struct{}
+	faults  faults
+	vms     []listing
+	calls   Calls
+
+	http     *http.Server
+	listener net.Listener
+}
+
+// listing is a list of VMs and the time from which it is shown.
+type listing struct {
+	from time.Time
+	vms  []core.ListedVM
+}
+
+// New returns a server without objects, faults and rate limit.
+func New() *Server {
+	s := &Server{
+		mux:     http.NewServeMux(),
+		objects: map[string]api.Object{},
+		changed: make(chan struct{}),
+	}
+	s.faults.limiter = rate.NewLimiter(rate.Inf, 0)
+	s.faults.changed = make(chan struct{})
+	s.mux.HandleFunc("GET "+api.ObjectsPath+"{key...}", s.get)
+	s.mux.HandleFunc("PUT "+api.ObjectsPath+"{key...}", s.put)
+	s.mux.HandleFunc("GET "+api.HeadsPath, s.heads)
+	s.mux.HandleFunc("GET "+api.WatchPath+"{key...}", s.watch)
+	s.mux.HandleFunc("GET "+api.VMsPath, s.listVMs)
+	return s
+}
+
+// ServeHTTP answers a call, subject to the faults in force.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.pass(w, r) {
+		s.mux.ServeHTTP(w, r)
+	}
+}
+
+// Start serves on a loopback address such as "127.0.0.1:0" and returns the base URL.
+func (s *Server) Start(addr string) (string, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil || !a.Addr().IsLoopback() {
+		return "", fmt.Errorf("listen on %q: the stand-in serves on loopback addresses only, such as 127.0.0.1:8500", addr)
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	s.listener = l
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.http.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+// Close ends all connections of a started server. Objects remain.
+func (s *Server) Close() error {
+	if s.http == nil {
+		return nil
+	}
+	return s.http.Close()
+}
+
+// Object returns an object; version 0 means that it does not exist.
+func (s *Server) Object(key string) api.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[key]
+	o.Key = key
+	return o
+}
+
+// Set writes an object, past all faults and counters, and returns its new version.
+func (s *Server) Set(key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store(key, value)
+}
+
+// SetVMs makes the list of VMs known after the lag.
+func (s *Server) SetVMs(vms []core.ListedVM, lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = append(s.vms, listing{from: time.Now().Add(lag), vms: vms})
+}
+
+// store writes an object; the caller holds the lock.
+func (s *Server) store(key string, value []byte) uint64 {
+	version := s.objects[key].Version + 1
+	s.objects[key] = api.Object{Key: key, Version: version, Value: bytes.Clone(value)}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return version
+}
