Keep the nonces of former generations in the stored manifest

An apply that loses its answer reads the manifest back. When another operator's generation follows its own within that time, the nonce in force is no longer its own, and accepted and refused look alike. A write that is conditional on generation n can only be generation n+1, so the nonces of the last 16 generations decide the question.

--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -138,12 +138,12 @@
 		return c.Services[service].Targets[target].ActiveAfter
 	}
 	stamp := func(prev, text []byte, at time.Time) []byte {
-		out, err := Stamp(prev, text, "n", at)
+		out, err := Stamp(Stored{1, prev}, text, "n", at)
 		So(err, ShouldBeNil)
 		return out
 	}
 	Convey("An address", t, func() {
-		first := stamp(nil, []byte(base), at)
+		first := stamp([]byte(base), []byte(base), at)
 		moved := edit(`10.0.1.2:1`, `10.0.1.9:1`, `10.0.2.1:1`, `10.0.1.2:1`)
 		Convey("that moves is quarantined", func() {
 			second := stamp(first, moved, at)
@@ -164,7 +164,7 @@
 			So(activeAfter(stamp(second, []byte(base), at), 0, 1), ShouldEqual, 0)
 		})
 		Convey("of a service cannot move to another service at once", func() {
-			_, err := Stamp(first, edit(`10.0.0.1:1`, `10.0.0.3:1`, `10.0.0.2:1`, `10.0.0.1:1`), "n", at)
+			_, err := Stamp(Stored{1, first}, edit(`10.0.0.1:1`, `10.0.0.3:1`, `10.0.0.2:1`, `10.0.0.1:1`), "n", at)
 			So(err.Error(), ShouldContainSubstring, "services[1].address: the address belongs to another service")
 		})
 	})
@@ -173,14 +173,24 @@
 // Guards against a stored text that differs from the operator's by more than the generated field.
 func TestStampSource(t *testing.T) {
 	Convey("The source of a stamped text is the operator's text", t, func() {
-		stored, err := Stamp(nil, []byte(base), "abc", time.Now())
+		stored, err := Stamp(Stored{}, []byte(base), "abc", time.Now())
 		So(err, ShouldBeNil)
-		So(Nonce(stored), ShouldEqual, "abc")
 		So(string(Source(stored)), ShouldEqual, base)
 		So(strings.Count(string(stored), "\n"), ShouldEqual, strings.Count(base, "\n"))
-		again, err := Stamp(stored, stored, "def", time.Now())
+		again, err := Stamp(Stored{1, stored}, stored, "def", time.Now())
 		So(err, ShouldBeNil)
 		So(string(Source(again)), ShouldEqual, base)
+		Convey("and tells which apply wrote which generation", func() {
+			for gen, want := range map[core.Generation]string{1: "abc", 2: "def"} {
+				nonce, known := Stored{2, again}.NonceOf(gen)
+				So(known, ShouldBeTrue)
+				So(nonce, ShouldEqual, want)
+			}
+			_, known := Stored{2, again}.NonceOf(3)
+			So(known, ShouldBeFalse)
+			_, known = Stored{2, []byte(base)}.NonceOf(2)
+			So(known, ShouldBeFalse)
+		})
 		So(string(Source([]byte(`{"a": 1, "generated": {}}`))), ShouldEqual, `{"a": 1}`)
 		So(string(Source([]byte(`no JSON`))), ShouldEqual, `no JSON`)
 	})
@@ -198,7 +208,7 @@
 			So(string(back), ShouldEqual, string(edit(`{"name": "za"}`, `{"name": "za", "state": "in"}`)))
 		})
 		Convey("is kept by a manifest that leaves it open", func() {
-			kept, err := KeepZoneStates(out, []byte(base))
+			kept, err := KeepZoneStates(Stored{1, out}, []byte(base))
 			So(err, ShouldBeNil)
 			So(string(kept), ShouldEqual, string(out))
 			So(Diff(mustParse(out), mustParse(kept)), ShouldBeEmpty)
@@ -257,7 +267,7 @@
 		if len(c.Services) == 0 || len(c.Zones) == 0 {
 			t.Fatal("a config without zones or services was accepted")
 		}
-		stored, err := Stamp(nil, text, "n", time.Unix(0, 0))
+		stored, err := Stamp(Stored{}, text, "n", time.Unix(0, 0))
 		if err != nil {
 			return
 		}
--- a/internal/contract/manifest.go
+++ b/internal/contract/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/internal/jsonc"
 )
 
@@ -94,11 +95,19 @@
 type Generated struct {
 	// Nonce identifies the apply that wrote the text, so that a lost answer can be cleared up.
 	Nonce string `json:"nonce"`
+	// History holds the nonces of former generations, newest first, at most maxHistory.
+	History []FormerNonce `json:"history,omitempty"`
 	// Left lists addresses that a service recently gave up. Another service's target with such an
 	// address gets no packets for core.AddressQuarantine after acceptance.
 	Left []LeftAddress `json:"left,omitempty"`
 }
 
+// FormerNonce is the nonce of the apply that wrote a former generation.
+type FormerNonce struct {
+	Generation core.Generation `json:"generation"`
+	Nonce      string          `json:"nonce"`
+}
+
 // LeftAddress is an address, of a service or a target, that a service gave up.
 type LeftAddress struct {
 	Address string    `json:"address"`
--- a/internal/contract/stamp.go
+++ b/internal/contract/stamp.go
@@ -4,29 +4,45 @@
 	"encoding/json"
 	"time"
 
-	"github.com/mangoweir/mangoweir/internal/jsonc"
 	"github.com/tailscale/hujson"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/jsonc"
 )
 
 // generatedField is the name of the field that apply writes.
 const generatedField = "generated"
 
-// Stamp returns the text to be stored for an operator's text: the text with the field "generated",
-// which holds the nonce and the addresses that services gave up since prev. prev is the stored text
-// in force, or nil. The field goes on the line of the opening brace, so that the lines of the
+// maxHistory bounds the nonces of former generations in a stored text. An apply that lost its answer
+// finds its nonce there unless more generations than this were accepted in between.
+const maxHistory = 16
+
+// Stored is a manifest's text as stored on the platform. Generation 0 means that there is none.
+type Stored struct {
+	Generation core.Generation
+	Text       []byte
+}
+
+// Stamp returns the text to be stored after prev for an operator's text: the text with the field
+// "generated", which holds the nonce, the nonces of former generations and the addresses that
+// services gave up. The field goes on the line of the opening brace, so that the lines of the
 // operator's text keep their numbers. Errors are *jsonc.Problems.
-func Stamp(prev, text []byte, nonce string, now time.Time) ([]byte, error) {
+func Stamp(prev Stored, text []byte, nonce string, now time.Time) ([]byte, error) {
 	source := Source(text)
 	next, err := Parse(storedName, source)
 	if err != nil {
 		return nil, err
 	}
 	var former *Manifest
-	if prev != nil {
+	if prev.Generation > 0 {
 		// An unreadable manifest in force says nothing about addresses; the new one replaces it.
-		former, _ = Parse(storedName, prev)
+		former, _ = Parse(storedName, prev.Text)
+	}
+	gen := Generated{
+		Nonce:   nonce,
+		History: history(former, prev.Generation),
+		Left:    leftAddresses(former, next, now.UTC().Truncate(time.Millisecond)),
 	}
-	gen := Generated{Nonce: nonce, Left: leftAddresses(former, next, now.UTC().Truncate(time.Millisecond))}
 	doc, err := jsonc.Parse(storedName, source)
 	if err != nil {
 		return nil, err
@@ -59,7 +75,7 @@
 	return splice(source, at, at, `"`+generatedField+`":`+string(field)+","), nil
 }
 
-// Source returns the operator's text of a stored text: Source(Stamp(text)) equals text. A text
+// Source returns the operator's text of a stored text, byte for byte as it was given to Stamp. A text
 // without the field, or that is no JSON, is returned as it is.
 func Source(text []byte) []byte {
 	root, err := hujson.Parse(text)
@@ -93,11 +109,29 @@
 	}
 }
 
-// Nonce returns the nonce of a stored text, or "" when it has none.
-func Nonce(text []byte) string {
-	m, err := Parse(storedName, text)
+// NonceOf returns the nonce of a generation up to the stored one, and whether it is known.
+func (s Stored) NonceOf(gen core.Generation) (nonce string, known bool) {
+	m, err := Parse(storedName, s.Text)
 	if err != nil || m.Generated == nil {
-		return ""
+		return "", false
+	}
+	if gen == s.Generation {
+		return m.Generated.Nonce, true
+	}
+	for _, h := range m.Generated.History {
+		if h.Generation == gen {
+			return h.Nonce, true
+		}
+	}
+	return "", false
+}
+
+// history returns the nonces of the generations up to former, newest first; former may be nil.
+func history(former *Manifest, generation core.Generation) []FormerNonce {
+	if former == nil || former.Generated == nil {
+		return nil
 	}
-	return m.Generated.Nonce
+	out := []FormerNonce{{Generation: generation, Nonce: former.Generated.Nonce}}
+	out = append(out, former.Generated.History...)
+	return out[:min(len(out), maxHistory)]
 }
--- a/internal/contract/zone.go
+++ b/internal/contract/zone.go
@@ -55,16 +55,16 @@
 
 // KeepZoneStates returns text with the states in force for the zones whose state text leaves open.
 // Operators take zones out and in while a pipeline goes on to generate manifests; a generated
-// manifest must not undo that unless it names the state. prev is the stored text in force, or nil.
-func KeepZoneStates(prev, text []byte) ([]byte, error) {
+// manifest must not undo that unless it names the state. prev is what is in force.
+func KeepZoneStates(prev Stored, text []byte) ([]byte, error) {
 	next, err := Parse(storedName, text)
 	if err != nil {
 		return nil, err
 	}
-	if prev == nil {
+	if prev.Generation == 0 {
 		return text, nil
 	}
-	former, err := Parse(storedName, prev)
+	former, err := Parse(storedName, prev.Text)
 	if err != nil {
 		return text, nil
 	}
--- a/internal/platform/doc.go
+++ b/internal/platform/doc.go
@@ -15,6 +15,7 @@
 //	PUT  /v1/objects/{key}      Body: the value. Header If-Match: "<version>" makes the write
 //	                            conditional; "0" creates the object. Without If-Match the write is
 //	                            unconditional. 200 {"version": 8}.
+//	                            Each write raises the version by one.
 //	GET  /v1/heads?key=a&key=b  200 {"heads": [{"key": "a", "version": 7}, ...]} in the order asked
 //	                            for, at most MaxHeads keys.
 //	GET  /v1/watch/{key}?after=7&waitMillis=20000
