Add control: config relay, members, authority and holders

Control was an empty shell, so VMs could neither form a fleet nor decide who holds a target. It now bootstraps from seeds and the platform's list, relays generations and member lists between VMs, writes member lists conditionally, and decides takeovers, handovers and authority.

Ages of confirmations count from the time at which the acknowledged heartbeat was sent. An assumed maximum transit time was ruled out: a message may wait in a buffer of a paused process for any time.

A takeover uses authority only after every VM that may hold the target has acknowledged it, has ended, or has been out of the member list for ConfirmTTL.

--- /dev/null
+++ b/core/control/heartbeat.go
@@ -0,0 +1,260 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/rendezvous"
+)
+
+const (
+	// maxHeartbeatPeers bounds the peers that get heartbeats, so that the cost is constant.
+	maxHeartbeatPeers = 8
+	// zoneRings is the number of ring orders of the VMs of a zone, and fleetRings of all VMs, that
+	// each contribute two neighbours when there are more than maxHeartbeatPeers peers. Rings are
+	// symmetric, so heartbeats are acknowledged, and several rings in different orders keep the
+	// number of hops logarithmic.
+	zoneRings  = 3
+	fleetRings = 1
+	// sentLog is the number of sent heartbeats whose times are remembered per peer. It covers
+	// more than SuspectAfter at the highest rate of heartbeats.
+	sentLog = 32
+	// earlyBurst bounds heartbeats ahead of time, which spread news; one more is allowed after
+	// earlyRefill.
+	earlyBurst  = 3
+	earlyRefill = time.Second
+	// earlyGap is the least time between two heartbeats ahead of time.
+	earlyGap = 100 * time.Millisecond
+)
+
+// heartbeatState is the schedule of heartbeats.
+type heartbeatState struct {
+	nextAt time.Duration
+	lastAt time.Duration
+	// news is true when something changed that peers should hear before the next interval.
+	news      bool
+	spent     int
+	refilled  time.Duration
+	// announcement counts the takeovers that heartbeats announce.
+	announcement uint64
+	receivers    []*peer
+	// chosenFor is the structure version that receivers were chosen for.
+	chosenFor uint64
+}
+
+// sentBeat is the time at which a heartbeat was sent.
+type sentBeat struct {
+	seq          uint64
+	at           time.Duration
+	announcement uint64
+}
+
+// hasNews asks for heartbeats ahead of time.
+func (c *Control) hasNews() { c.beats.news = true }
+
+// sendHeartbeats sends heartbeats when the interval has passed or there is news.
+func (c *Control) sendHeartbeats() {
+	if !c.heartbeatDue() {
+		return
+	}
+	c.beats.news = false
+	c.beats.lastAt = c.now
+	c.beats.nextAt = c.now + core.HeartbeatInterval
+	for _, p := range c.heartbeatPeers() {
+		c.heartbeat(p)
+	}
+}
+
+// heartbeatDue decides about heartbeats ahead of time with a token bucket.
+func (c *Control) heartbeatDue() bool {
+	b := &c.beats
+	for b.spent > 0 && c.now-b.refilled >= earlyRefill {
+		b.spent--
+		b.refilled += earlyRefill
+	}
+	if c.now >= b.nextAt {
+		return true
+	}
+	if !b.news || b.spent >= earlyBurst || c.now-b.lastAt < earlyGap {
+		return false
+	}
+	if b.spent == 0 {
+		b.refilled = c.now
+	}
+	b.spent++
+	return true
+}
+
+// heartbeat sends one heartbeat to a peer.
+func (c *Control) heartbeat(p *peer) {
+	p.seqOut++
+	p.sentAt[p.seqOut%sentLog] = sentBeat{p.seqOut, c.now, c.beats.announcement}
+	c.send(p.name, &core.Heartbeat{
+		Zone:        c.opts.Zone,
+		Addr:        c.opts.Addr,
+		Incarnation: c.opts.Incarnation,
+		Seq:         p.seqOut,
+		AckSeq:      p.seqIn,
+		State:       c.ownState(),
+		Generation:  c.generation(),
+		Epochs:      c.epochs(),
+		ConfirmAge:  c.confirmAge(),
+		Holdings:    c.ownHoldings(),
+	})
+}
+
+// ownState returns the state that this VM announces.
+func (c *Control) ownState() core.VMState {
+	switch {
+	case c.stop.leaving:
+		return core.VMLeaving
+	case c.selfMember():
+		return core.VMLive
+	}
+	return core.VMJoining
+}
+
+// heartbeatPeers returns the peers that get heartbeats.
+func (c *Control) heartbeatPeers() []*peer {
+	if c.beats.chosenFor != c.view.structure || c.beats.receivers == nil {
+		c.beats.receivers = c.chooseReceivers()
+		c.beats.chosenFor = c.view.structure
+	}
+	return c.beats.receivers
+}
+
+// chooseReceivers returns all peers of a small fleet, and ring neighbours in a larger one. Dead
+// peers are skipped; a restarted process makes itself known by its own heartbeat.
+func (c *Control) chooseReceivers() []*peer {
+	var all, zone []*peer
+	c.peers.all(func(_ core.VMName, p *peer) bool {
+		if p.dead || !p.linkUp && !p.heard() && c.now-p.knownSince > forgetAfter {
+			return true
+		}
+		all = append(all, p)
+		if p.zone == c.opts.Zone {
+			zone = append(zone, p)
+		}
+		return true
+	})
+	if len(all) <= maxHeartbeatPeers {
+		return all
+	}
+	var chosen []*peer
+	for ring := range uint64(zoneRings) {
+		chosen = c.addNeighbours(chosen, zone, ring)
+	}
+	for ring := range uint64(fleetRings) {
+		chosen = c.addNeighbours(chosen, all, zoneRings+ring)
+	}
+	slices.SortFunc(chosen, func(a, b *peer) int { return compare(a.name, b.name) })
+	return chosen
+}
+
+// addNeighbours adds the successor and predecessor of this VM in a ring of peers.
+func (c *Control) addNeighbours(chosen, peers []*peer, ring uint64) []*peer {
+	if len(peers) == 0 {
+		return chosen
+	}
+	self := rendezvous.Mix(ring, rendezvous.HashString(string(c.opts.Self)))
+	place := func(p *peer) uint64 { return rendezvous.Mix(ring, p.hash) - self }
+	next := slices.MinFunc(peers, func(a, b *peer) int { return cmp.Compare(place(a), place(b)) })
+	prev := slices.MaxFunc(peers, func(a, b *peer) int { return cmp.Compare(place(a), place(b)) })
+	for _, p := range []*peer{next, prev} {
+		if !slices.Contains(chosen, p) {
+			chosen = append(chosen, p)
+		}
+	}
+	return chosen
+}
+
+// onHeartbeat takes over what a peer announces.
+func (c *Control) onHeartbeat(from core.VMName, m *core.Heartbeat) {
+	p := c.meet(from, m.Zone, m.Addr)
+	if p == nil || !c.acceptHeartbeat(p, m) {
+		return
+	}
+	wasLive := p.live()
+	c.noteLife(p, m)
+	c.noteAck(p, m)
+	c.noteHoldings(p, m.Holdings)
+	c.noteGeneration(m.Generation)
+	c.noteEpochs(m.Epochs)
+	c.noteConfirmation(p, m)
+	if !wasLive {
+		c.touch(changeStructure)
+	}
+	c.updatePulls()
+}
+
+// acceptHeartbeat refuses heartbeats of ended processes and those overtaken by newer ones.
+func (c *Control) acceptHeartbeat(p *peer, m *core.Heartbeat) bool {
+	switch {
+	case m.Incarnation < p.incarnation:
+		return false
+	case m.Incarnation == p.incarnation && m.Seq <= p.seqIn:
+		return false
+	case p.dead && m.Incarnation <= p.deadUpTo:
+		// Heartbeats may still arrive from a process that has ended. A link that came up later
+		// shows that the refusal was wrong.
+		return p.linkUp && c.now-p.diedAt > core.SuspectAfter
+	}
+	return true
+}
+
+// noteLife records that the peer's process is alive.
+func (c *Control) noteLife(p *peer, m *core.Heartbeat) {
+	if m.Incarnation != p.incarnation {
+		if p.incarnation != 0 && !p.dead {
+			c.markDead(p, p.incarnation)
+		}
+		p.incarnation = m.Incarnation
+		p.ackedAnnouncement = 0
+		p.holdings = nil
+		p.heardSince = c.now
+		c.touch(changeStructure)
+	}
+	if p.suspect || p.dead {
+		c.emit(core.Event{Kind: core.EventPeerBack, VM: p.name, Zone: p.zone})
+		p.heardSince = c.now
+	}
+	if p.state != m.State {
+		c.touch(changeStructure)
+	}
+	p.dead = false
+	p.suspect = false
+	p.lastHeard = c.now
+	p.seqIn = m.Seq
+	p.state = m.State
+	p.generation = m.Generation
+	p.epochs = m.Epochs
+}
+
+// noteAck derives from the acknowledged heartbeat when the peer can have sent this one at the
+// earliest: after it received a heartbeat that this VM sent. Unlike an assumed time of transit this
+// holds however long the message was under way.
+func (c *Control) noteAck(p *peer, m *core.Heartbeat) {
+	sent := p.sentAt[m.AckSeq%sentLog]
+	if sent.seq == m.AckSeq && m.AckSeq != 0 {
+		p.sentNotBefore = max(p.sentNotBefore, sent.at)
+		p.ackedAnnouncement = max(p.ackedAnnouncement, sent.announcement)
+	}
+	if c.now-p.sentNotBefore > deadWithin {
+		p.deafAt = c.now
+	}
+}
+
+// epochOf returns the epoch of a zone in a list, or 0.
+func epochOf(list []core.ZoneEpoch, zone core.ZoneName) core.Epoch {
+	for _, e := range list {
+		if e.Zone == zone {
+			return e.Epoch
+		}
+	}
+	return 0
+}
+
+// compare orders names.
+func compare[T cmp.Ordered](a, b T) int { return cmp.Compare(a, b) }
--- /dev/null
+++ b/core/control/holder.go
@@ -0,0 +1,547 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/rendezvous"
+)
+
+const (
+	// handoverAfter is the time for which another VM has to be desired before a target is handed
+	// to it; shorter times hand over to VMs that only appear briefly.
+	handoverAfter = time.Second
+	// maxReleases bounds the handovers that a VM has under way, so that a membership change does
+	// not stop admission for many targets at once.
+	maxReleases = 4
+	// releaseTimeout is the time after which a handover without a report counts as failed.
+	releaseTimeout = 3 * time.Second
+	// unheldGrace is the time for which nobody may announce a target before it is taken over from
+	// a live VM; a handover takes at most a second and is announced with the next heartbeat.
+	unheldGrace = 1500 * time.Millisecond
+	// dropGrace is the time for which a handover's sender leaves it to the shard to notice that
+	// the receiver holds the target.
+	dropGrace = 1500 * time.Millisecond
+	// foreignAfter is the time after the start before targets of a zone that never had a member
+	// are taken by other zones.
+	foreignAfter = 10 * time.Second
+	// deadWithin is the time since the last heartbeat within which a refused connection shows that
+	// the backup knows all records.
+	deadWithin = 1500 * time.Millisecond
+)
+
+// claim is a VM's announcement that it holds a target.
+type claim struct {
+	vm          core.VMName
+	incarnation core.Incarnation
+	number      core.HoldingNumber
+	heardAt     time.Duration
+}
+
+// beats reports whether the claim replaces another one. Equal numbers arise when two VMs take over
+// at the same time; the name decides.
+func (a claim) beats(b claim) bool {
+	if a.number != b.number {
+		return a.number > b.number
+	}
+	return a.vm != "" && (b.vm == "" || a.vm < b.vm)
+}
+
+// holding is what control knows about who holds a target.
+type holding struct {
+	// held is true while this VM holds the target, under number.
+	held   bool
+	number core.HoldingNumber
+	// highest is the highest number heard of.
+	highest core.HoldingNumber
+	// claim is the best present claim of a peer; former the best ever heard.
+	claim, former claim
+	// unheldSince is when the last live claim ended.
+	unheldSince time.Duration
+
+	electors []elector
+	// foreign is true when VMs of other zones hold the target; wasForeign when they ever did.
+	foreign, wasForeign bool
+	// settledAt is the time by which VMs that held the target under another electorate have lost
+	// authority.
+	settledAt time.Duration
+	desired   core.VMName
+	desiredAt time.Duration
+	backup    core.VMName
+	// pair is the present holder and backup; lastPair the one before the last holder was lost.
+	pair, lastPair pairing
+
+	take       *takeover
+	release    *release
+	retryAfter time.Duration
+}
+
+// pairing is a holder with its backup.
+type pairing struct {
+	holder, backup core.VMName
+	number         core.HoldingNumber
+	since          time.Duration
+}
+
+// elector is a VM that may hold a target.
+type elector struct {
+	name        core.VMName
+	incarnation core.Incarnation
+	// peer is nil for this VM.
+	peer  *peer
+	score uint64
+}
+
+// release is a handover under way.
+type release struct {
+	to          core.VMName
+	incarnation core.Incarnation
+	number      core.HoldingNumber
+	at          time.Duration
+}
+
+// gone reports whether the elector's process is known to have ended.
+func (e elector) gone() bool { return e.peer != nil && e.peer.gone(e.incarnation) }
+
+// updateHolders decides for all targets who should hold them and acts on it.
+func (c *Control) updateHolders() {
+	if c.config.current == nil {
+		return
+	}
+	c.refreshHoldings()
+	c.targets.all(func(_ core.TargetID, t *target) bool {
+		c.checkDrop(t)
+		c.considerTakeOver(t)
+		c.settleTakeOver(t)
+		c.considerRelease(t)
+		return true
+	})
+}
+
+// refreshHoldings recomputes claims and electors after a change of structure.
+func (c *Control) refreshHoldings() {
+	if c.now-c.startedAt > foreignAfter && !c.view.foreignTime {
+		c.view.foreignTime = true
+		c.touch(changeStructure)
+	}
+	if c.view.refreshed == c.view.structure {
+		return
+	}
+	c.view.refreshed = c.view.structure
+	claims := c.bestClaims()
+	c.targets.all(func(id core.TargetID, t *target) bool {
+		c.refreshHolding(t, claims[id])
+		return true
+	})
+}
+
+// bestClaims returns the best claim of a peer for each target.
+func (c *Control) bestClaims() map[core.TargetID]claim {
+	claims := make(map[core.TargetID]claim)
+	c.peers.all(func(_ core.VMName, p *peer) bool {
+		if !p.heard() {
+			return true
+		}
+		for _, h := range p.holdings {
+			n := claim{p.name, p.incarnation, h.Number, p.lastHeard}
+			if n.beats(claims[h.Target]) {
+				claims[h.Target] = n
+			}
+		}
+		return true
+	})
+	return claims
+}
+
+// refreshHolding recomputes what depends on peers and members for one target.
+func (c *Control) refreshHolding(t *target, best claim) {
+	h := &t.holding
+	if h.claim.vm != "" && best.vm == "" {
+		h.unheldSince = c.now
+	}
+	h.claim = best
+	c.refreshElectorate(t)
+	desired := c.desired(t)
+	if desired != h.desired {
+		h.desired = desired
+		h.desiredAt = c.now
+	}
+	h.backup = c.backup(t)
+	c.notePair(t)
+}
+
+// notePair remembers since when a target has the same holder and backup.
+func (c *Control) notePair(t *target) {
+	h := &t.holding
+	next := pairing{h.claim.vm, h.backup, h.claim.number, h.pair.since}
+	if next == h.pair {
+		return
+	}
+	if h.pair.holder != "" {
+		h.lastPair = h.pair
+	}
+	next.since = c.now
+	h.pair = next
+}
+
+// refreshElectorate works out which VMs may hold a target, best first.
+func (c *Control) refreshElectorate(t *target) {
+	h := &t.holding
+	foreign := c.foreign(t.target.Zone)
+	if foreign != h.foreign || foreign && h.electors == nil {
+		h.settledAt = c.now + core.ConfirmTTL
+	}
+	h.foreign = foreign
+	h.wasForeign = h.wasForeign || foreign
+	h.electors = h.electors[:0]
+	c.zones.all(func(name core.ZoneName, z *zone) bool {
+		if foreign == (name == t.target.Zone) || foreign && c.zoneOut(name) {
+			return true
+		}
+		for _, m := range z.members {
+			h.electors = append(h.electors, c.elector(t, m.Name, m.Incarnation))
+		}
+		return true
+	})
+	sortElectors(h.electors)
+}
+
+// elector returns a VM as elector of a target.
+func (c *Control) elector(t *target, name core.VMName, inc core.Incarnation) elector {
+	e := elector{name: name, incarnation: inc, peer: c.peers.get(name)}
+	e.score = rendezvous.Mix(t.key, rendezvous.HashString(string(name)))
+	return e
+}
+
+// sortElectors sorts best first.
+func sortElectors(list []elector) {
+	slices.SortFunc(list, func(a, b elector) int {
+		if n := cmp.Compare(b.score, a.score); n != 0 {
+			return n
+		}
+		return compare(a.name, b.name)
+	})
+}
+
+// foreign reports whether VMs of other zones hold the targets of a zone: it was taken out of service
+// or no VM of it is left.
+func (c *Control) foreign(name core.ZoneName) bool {
+	if c.zoneOut(name) {
+		return true
+	}
+	if name == c.opts.Zone {
+		return false
+	}
+	z := c.zone(name)
+	if z.epoch == 0 && !c.view.foreignTime {
+		return false
+	}
+	for _, m := range z.members {
+		if p := c.peers.get(m.Name); p == nil || !p.gone(m.Incarnation) {
+			return false
+		}
+	}
+	none := true
+	c.peers.all(func(_ core.VMName, p *peer) bool {
+		none = p.zone != name || !p.live()
+		return none
+	})
+	return none
+}
+
+// canHold reports whether an elector can be given a target. A later process of a member counts: it
+// becomes holder by handover while the platform is down.
+func (c *Control) canHold(e elector) bool {
+	if e.name == c.opts.Self {
+		return !c.stop.leaving
+	}
+	return e.peer != nil && e.peer.available()
+}
+
+// desired returns the VM that should hold a target. VMs that are no members yet are desired only
+// when no member is available, so that a rolling replacement works while the platform is down.
+func (c *Control) desired(t *target) core.VMName {
+	for _, e := range t.holding.electors {
+		if c.canHold(e) {
+			return e.name
+		}
+	}
+	if t.holding.foreign {
+		return ""
+	}
+	var others []elector
+	if c.opts.Zone == t.target.Zone {
+		others = append(others, c.elector(t, c.opts.Self, c.opts.Incarnation))
+	}
+	c.peers.all(func(name core.VMName, p *peer) bool {
+		if p.zone == t.target.Zone {
+			others = append(others, c.elector(t, name, p.incarnation))
+		}
+		return true
+	})
+	sortElectors(others)
+	for _, e := range others {
+		if c.canHold(e) {
+			return e.name
+		}
+	}
+	return ""
+}
+
+// holder returns the VM that holds a target as far as this VM knows.
+func (c *Control) holder(t *target) claim {
+	h := &t.holding
+	if h.held {
+		return claim{vm: c.opts.Self, number: h.number}
+	}
+	if p := c.peers.get(h.former.vm); p != nil && p.live() && h.former.beats(h.claim) &&
+		c.now-h.former.heardAt < unheldGrace && p.incarnation == h.former.incarnation {
+		return h.former
+	}
+	return h.claim
+}
+
+// backup returns the VM that keeps copies of the holder's records: the first available elector that
+// is not the holder.
+func (c *Control) backup(t *target) core.VMName {
+	holder := c.holder(t).vm
+	if holder == "" {
+		holder = t.holding.desired
+	}
+	for _, e := range t.holding.electors {
+		if e.name != holder && c.canHold(e) {
+			return e.name
+		}
+	}
+	return ""
+}
+
+// noteHoldings takes over which targets a peer announces.
+func (c *Control) noteHoldings(p *peer, list []core.Holding) {
+	same := slices.EqualFunc(p.holdings, list, func(a, b core.Holding) bool {
+		return a.Target == b.Target && a.Number == b.Number
+	})
+	p.holdings = list
+	for _, announced := range list {
+		if t := c.targets.get(announced.Target); t != nil {
+			c.noteClaim(t, claim{p.name, p.incarnation, announced.Number, c.now}, announced.Load)
+		}
+	}
+	if !same {
+		c.touch(changeStructure)
+		c.updateHolders()
+	}
+}
+
+// noteClaim takes over a peer's claim to a target and the load that it announces.
+func (c *Control) noteClaim(t *target, n claim, load core.TargetLoad) {
+	h := &t.holding
+	h.highest = max(h.highest, n.number)
+	if n.vm == h.former.vm || n.beats(h.former) {
+		h.former = n
+	}
+	if n.vm == h.claim.vm && !h.held {
+		c.setLoad(t, load)
+	}
+}
+
+// setLoad takes over the load of a target.
+func (c *Control) setLoad(t *target, load core.TargetLoad) {
+	if load == t.load {
+		return
+	}
+	leaving := load.Leaving != t.load.Leaving
+	t.load = load
+	c.touch(changeLoad)
+	if leaving {
+		c.touch(changeView)
+		c.updateSets()
+	}
+}
+
+// ownHoldings returns the targets that this VM announces.
+func (c *Control) ownHoldings() []core.Holding {
+	var list []core.Holding
+	c.targets.all(func(id core.TargetID, t *target) bool {
+		if t.holding.held {
+			list = append(list, core.Holding{Target: id, Number: t.holding.number, Load: t.load})
+		}
+		return true
+	})
+	return list
+}
+
+// holdsAny reports whether this VM holds a target.
+func (c *Control) holdsAny() bool {
+	found := false
+	c.targets.all(func(_ core.TargetID, t *target) bool {
+		found = t.holding.held
+		return !found
+	})
+	return found
+}
+
+// onLoadChanged takes over the load that a shard reports.
+func (c *Control) onLoadChanged(r core.LoadChanged) {
+	if t := c.targets.get(r.Target); t != nil && t.holding.held {
+		c.setLoad(t, r.Load)
+	}
+}
+
+// onHolderChanged takes over which VM a shard says holds a target.
+func (c *Control) onHolderChanged(r core.HolderChanged) {
+	t := c.targets.get(r.Target)
+	if t == nil {
+		return
+	}
+	h := &t.holding
+	h.highest = max(h.highest, r.Number)
+	if r.Holder == c.opts.Self {
+		c.noteOwnHolding(h, r.Number)
+	} else if !h.held || r.Number >= h.number {
+		c.noteLostHolding(h, r)
+	}
+	c.touch(changeStructure)
+	c.hasNews()
+}
+
+// noteOwnHolding records that a shard of this VM holds a target. A higher number than before was
+// received by handover, which leaves no former holder to wait for.
+func (c *Control) noteOwnHolding(h *holding, number core.HoldingNumber) {
+	if h.held && number < h.number {
+		return
+	}
+	if !h.held || number > h.number {
+		h.take = nil
+		c.emit(core.Event{Kind: core.EventHandoverDone, VM: c.opts.Self, Value: uint64(number)})
+	}
+	if h.release != nil {
+		c.endRelease(h)
+	}
+	h.held = true
+	h.number = number
+}
+
+// noteLostHolding records that no shard of this VM holds a target any more.
+func (c *Control) noteLostHolding(h *holding, r core.HolderChanged) {
+	h.held = false
+	h.take = nil
+	h.release = nil
+	h.unheldSince = c.now
+	p := c.peers.get(r.Holder)
+	if p == nil {
+		return
+	}
+	n := claim{r.Holder, p.incarnation, r.Number, c.now}
+	if n.beats(h.former) {
+		h.former = n
+	}
+}
+
+// checkDrop gives up a target that another VM holds under a better claim.
+func (c *Control) checkDrop(t *target) {
+	h := &t.holding
+	if !h.held || !h.claim.beats(claim{vm: c.opts.Self, number: h.number}) {
+		return
+	}
+	if r := h.release; r != nil && r.to == h.claim.vm && c.now-r.at < dropGrace {
+		return
+	}
+	h.held = false
+	h.take = nil
+	h.release = nil
+	c.emit(core.ToShard{Target: t.id, Input: core.Drop{Target: t.id, Holder: h.claim.vm, Number: h.claim.number}})
+	c.touch(changeStructure)
+	c.hasNews()
+}
+
+// nextNumber returns the holding number for the next holder of a target.
+func (c *Control) nextNumber(t *target) core.HoldingNumber {
+	const countBits = 16
+	base := core.HoldingNumber(c.zone(t.target.Zone).epoch) << countBits
+	return max(t.holding.highest+1, base)
+}
+
+// considerRelease hands a target over to the VM that should hold it.
+func (c *Control) considerRelease(t *target) {
+	h := &t.holding
+	if !h.held {
+		return
+	}
+	if h.release != nil {
+		c.checkRelease(t)
+		return
+	}
+	if !c.releaseDue(t) || c.releases() >= maxReleases {
+		return
+	}
+	h.highest = c.nextNumber(t)
+	h.release = &release{to: h.desired, number: h.highest}
+	c.tellRelease(t)
+	c.emit(core.Event{Kind: core.EventHandoverStarted, VM: h.desired, Zone: t.target.Zone, Target: t.id})
+}
+
+// tellRelease sends the handover under way, once more after a time-out, to the shard.
+func (c *Control) tellRelease(t *target) {
+	r := t.holding.release
+	r.at = c.now
+	if p := c.peers.get(r.to); p != nil {
+		r.incarnation = p.incarnation
+	}
+	c.emit(core.ToShard{Target: t.id, Input: core.Release{Target: t.id, To: r.to, Number: r.number}})
+}
+
+// checkRelease handles a handover that is not confirmed in time. The receiver may hold the target
+// without this VM knowing it, so the target is offered to no other VM before the receiver has ended
+// or lost its membership.
+func (c *Control) checkRelease(t *target) {
+	h := &t.holding
+	r := h.release
+	p := c.peers.get(r.to)
+	switch {
+	case p == nil || p.gone(r.incarnation):
+		c.endRelease(h)
+	case c.now-r.at < releaseTimeout:
+	case p.available():
+		c.tellRelease(t)
+	case p.suspect && c.replaceable(p):
+		c.endRelease(h)
+		h.former = claim{r.to, r.incarnation, r.number, c.now}
+		c.takeOver(t, false)
+	}
+}
+
+// endRelease gives up a handover.
+func (c *Control) endRelease(h *holding) {
+	h.release = nil
+	h.retryAfter = c.now + handoverAfter
+	c.emit(core.Event{Kind: core.EventHandoverFailed, VM: c.opts.Self, Value: uint64(h.number)})
+}
+
+// releaseDue reports whether a target should be handed over now. The receiver has to know the target
+// and its members, and no former holder may be left that the receiver would not know of.
+func (c *Control) releaseDue(t *target) bool {
+	h := &t.holding
+	p := c.peers.get(h.desired)
+	if p == nil || !p.available() || h.take != nil || c.now < h.retryAfter {
+		return false
+	}
+	if p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch {
+		return false
+	}
+	return c.stop.leaving || c.zoneOut(t.target.Zone) || c.now-h.desiredAt >= handoverAfter
+}
+
+// releases returns the number of handovers under way.
+func (c *Control) releases() int {
+	n := 0
+	c.targets.all(func(_ core.TargetID, t *target) bool {
+		if t.holding.release != nil {
+			n++
+		}
+		return true
+	})
+	return n
+}
--- /dev/null
+++ b/core/control/members.go
@@ -0,0 +1,362 @@
+package control
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+const (
+	// joinAfter is the time for which a VM has to be heard before it becomes a member.
+	joinAfter = time.Second
+	// orphanAfter is the silence after which a VM that the members do not know removes them. A
+	// cut-off member keeps authority while it hears all members that it knows, so a VM that it
+	// does not know must not replace it soon.
+	orphanAfter = 30 * time.Second
+	// deputyDelay is the time after which the next VM in rendezvous order tries a change that the
+	// VM before it has not made.
+	deputyDelay = 2 * time.Second
+	// membersInterval is the time between two looks at whether member lists need a change.
+	membersInterval = 100 * time.Millisecond
+)
+
+// zone is what this VM knows about a zone.
+type zone struct {
+	name  core.ZoneName
+	epoch core.Epoch
+	// members is in ascending name order and never changed in place.
+	members []core.Member
+	// newest is the newest epoch heard of.
+	newest core.Epoch
+	// noneAt is the latest time at which the zone was known to have no member list yet.
+	noneAt time.Duration
+	// settledAt is the time by which VMs that are no longer members have lost authority.
+	settledAt time.Duration
+	// bootstrapped is true while no VM can have been a member but those in the present list.
+	bootstrapped bool
+
+	pulling  bool
+	pulledAt time.Duration
+	// written is the list of the outstanding write, and expected the epoch it replaces.
+	written  []core.Member
+	expected core.Epoch
+	// readBack is true when the outcome of a write is not known or another VM won.
+	readBack bool
+	// changeSince is when the list was first found to need a change.
+	changeSince time.Duration
+	checkedAt   time.Duration
+}
+
+// zone returns the state of the named zone and creates it if needed.
+func (c *Control) zone(name core.ZoneName) *zone {
+	z := c.zones.get(name)
+	if z == nil {
+		z = &zone{name: name, noneAt: never, settledAt: never, changeSince: never, checkedAt: never}
+		c.zones.put(name, z)
+	}
+	return z
+}
+
+// member returns the entry of a VM.
+func (z *zone) member(name core.VMName) (core.Member, bool) {
+	i, ok := slices.BinarySearchFunc(z.members, name, func(m core.Member, n core.VMName) int {
+		return compare(m.Name, n)
+	})
+	if !ok {
+		return core.Member{}, false
+	}
+	return z.members[i], true
+}
+
+// has reports whether a VM's process is a member.
+func (z *zone) has(name core.VMName, inc core.Incarnation) bool {
+	m, ok := z.member(name)
+	return ok && m.Incarnation == inc
+}
+
+// selfMember reports whether this VM is a member of its zone.
+func (c *Control) selfMember() bool {
+	return c.zone(c.opts.Zone).has(c.opts.Self, c.opts.Incarnation)
+}
+
+// isMember reports whether any zone's list names the VM.
+func (c *Control) isMember(name core.VMName) bool {
+	found := false
+	c.zones.all(func(_ core.ZoneName, z *zone) bool {
+		_, found = z.member(name)
+		return !found
+	})
+	return found
+}
+
+// memberIncarnation returns the incarnation of a peer in its zone's list, or 0.
+func (c *Control) memberIncarnation(p *peer) core.Incarnation {
+	z := c.zones.get(p.zone)
+	if z == nil {
+		return 0
+	}
+	m, _ := z.member(p.name)
+	return m.Incarnation
+}
+
+// epochs returns the installed epochs in zone order.
+func (c *Control) epochs() []core.ZoneEpoch {
+	out := make([]core.ZoneEpoch, 0, len(c.zones.keys))
+	c.zones.all(func(name core.ZoneName, z *zone) bool {
+		if z.epoch != 0 {
+			out = append(out, core.ZoneEpoch{Zone: name, Epoch: z.epoch})
+		}
+		return true
+	})
+	return out
+}
+
+// sortEpochs sorts by zone.
+func sortEpochs(list []core.ZoneEpoch) {
+	slices.SortFunc(list, func(a, b core.ZoneEpoch) int { return compare(a.Zone, b.Zone) })
+}
+
+// noteEpochs records that epochs exist.
+func (c *Control) noteEpochs(list []core.ZoneEpoch) {
+	for _, e := range list {
+		z := c.zone(e.Zone)
+		z.newest = max(z.newest, e.Epoch)
+	}
+}
+
+// pullMembers asks a peer that has a newer list.
+func (c *Control) pullMembers(z *zone) {
+	if z.newest <= z.epoch || c.waiting(z.pulling, z.pulledAt) {
+		return
+	}
+	p := c.drawPeer(func(p *peer) bool { return epochOf(p.epochs, z.name) > z.epoch })
+	if p == nil {
+		return
+	}
+	z.pulling = true
+	z.pulledAt = c.now
+	c.send(p.name, &core.MembersPull{Zone: z.name, Have: z.epoch})
+}
+
+// onMembersPull answers a peer that asks for a newer list.
+func (c *Control) onMembersPull(from core.VMName, m *core.MembersPull) {
+	z := c.zones.get(m.Zone)
+	if z == nil || z.epoch <= m.Have {
+		return
+	}
+	c.send(from, &core.MembersPush{Zone: z.name, Epoch: z.epoch, Members: z.members})
+}
+
+// onMembersPush installs a list that a peer sent.
+func (c *Control) onMembersPush(m *core.MembersPush) {
+	z := c.zone(m.Zone)
+	z.pulling = false
+	c.installMembers(z, m.Epoch, m.Members)
+}
+
+// onMembersRead installs a list that the platform returned.
+func (c *Control) onMembersRead(in core.MembersRead) {
+	z := c.zone(in.Zone)
+	c.succeeded(object{objectMembers, in.Zone})
+	z.readBack = false
+	if in.Epoch == 0 && z.epoch == 0 {
+		z.noneAt = max(z.noneAt, in.StartedAt)
+	}
+	c.installMembers(z, in.Epoch, in.Members)
+}
+
+// onMembersWritten handles the outcome of a conditional write. Unless it is known to have taken
+// effect, the list is read before anything else is written.
+func (c *Control) onMembersWritten(in core.MembersWritten) {
+	z := c.zone(in.Zone)
+	o := object{objectMembers, in.Zone}
+	switch in.Outcome {
+	case core.WriteDone:
+		sentAt := c.callFor(o).sentAt
+		c.succeeded(o)
+		if z.expected == 0 && z.epoch == 0 {
+			z.noneAt = max(z.noneAt, sentAt)
+		}
+		c.installMembers(z, in.Epoch, z.written)
+	case core.WriteConflict:
+		z.readBack = true
+		c.failed(o)
+		// The list is read at once; only the next write is delayed.
+		c.callFor(o).notBefore = c.now
+	case core.WriteUnknown:
+		z.readBack = true
+		c.failed(o)
+	}
+}
+
+// installMembers puts a newer list in force. Older ones are ignored.
+func (c *Control) installMembers(z *zone, epoch core.Epoch, members []core.Member) {
+	z.newest = max(z.newest, epoch)
+	if epoch <= z.epoch {
+		return
+	}
+	previous := z.members
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b core.Member) int { return compare(a.Name, b.Name) })
+	c.settle(z, previous, members)
+	own, wasMember := z.member(c.opts.Self)
+	wasMember = wasMember && own.Incarnation == c.opts.Incarnation
+	z.epoch = epoch
+	z.members = members
+	z.changeSince = never
+	for _, m := range members {
+		c.meet(m.Name, z.name, m.Addr)
+	}
+	c.emit(core.Event{Kind: core.EventEpochInstalled, Zone: z.name, Value: uint64(epoch)})
+	if z.name == c.opts.Zone {
+		c.noteOwnMembership(own, wasMember)
+	}
+	c.touch(changeStructure)
+	c.hasNews()
+	c.recheckPending()
+	c.updateHolders()
+}
+
+// settle works out by when VMs that the new list does not name have lost authority.
+func (c *Control) settle(z *zone, previous, members []core.Member) {
+	lost := c.now + core.ConfirmTTL
+	if z.epoch == 0 {
+		z.bootstrapped = c.now-z.noneAt <= core.SuspectAfter
+		if !z.bootstrapped {
+			z.settledAt = lost
+		}
+		return
+	}
+	if c.now-c.authority.confirmedAt > core.SuspectAfter+headsInterval {
+		// Lists may have come and gone while this VM was cut off.
+		z.settledAt = lost
+		c.noteLost(z)
+		return
+	}
+	for _, m := range previous {
+		if slices.ContainsFunc(members, func(n core.Member) bool { return n.Name == m.Name && n.Incarnation == m.Incarnation }) {
+			continue
+		}
+		c.noteLost(z)
+		if p := c.peers.get(m.Name); m.Name == c.opts.Self || p != nil && p.gone(m.Incarnation) {
+			continue
+		}
+		z.settledAt = lost
+	}
+}
+
+// noteLost records that VMs have been members whose holdings may never have been heard of.
+func (c *Control) noteLost(z *zone) {
+	z.bootstrapped = false
+	c.targets.all(func(_ core.TargetID, t *target) bool {
+		if t.target.Zone == z.name {
+			t.since = 0
+		}
+		return true
+	})
+}
+
+// updateMembers writes the member lists that need a change and that this VM is responsible for.
+func (c *Control) updateMembers() {
+	c.zones.all(func(_ core.ZoneName, z *zone) bool {
+		if c.now-z.checkedAt >= membersInterval {
+			z.checkedAt = c.now
+			c.updateZone(z)
+		}
+		return true
+	})
+}
+
+// updateZone writes one member list if it needs a change.
+func (c *Control) updateZone(z *zone) {
+	o := object{objectMembers, z.name}
+	if z.readBack {
+		c.start(o, core.ReadMembers{Zone: z.name})
+		return
+	}
+	if c.stop.leaving || z.newest > z.epoch || !c.mayWrite(z) {
+		return
+	}
+	wanted := c.wantedMembers(z)
+	if slices.Equal(wanted, z.members) {
+		z.changeSince = never
+		return
+	}
+	if z.changeSince == never {
+		z.changeSince = c.now
+	}
+	turn := time.Duration(c.rankInZone(z.name, saltWriter)) * deputyDelay
+	if c.now-z.changeSince < turn || !c.callAllowed(o) {
+		return
+	}
+	z.written = wanted
+	z.expected = z.epoch
+	c.start(o, core.WriteMembers{Zone: z.name, Expect: z.epoch, Members: wanted})
+}
+
+// mayWrite reports whether this VM may change the zone's list: as a VM of the zone that has run for
+// joinAfter, or as a member of another zone in service when no VM of the zone is heard.
+func (c *Control) mayWrite(z *zone) bool {
+	if c.now-c.startedAt < joinAfter {
+		return false
+	}
+	if z.name == c.opts.Zone {
+		return true
+	}
+	if z.epoch == 0 || !c.selfMember() || c.config.current == nil || c.zoneOut(c.opts.Zone) {
+		return false
+	}
+	none := true
+	c.peers.all(func(_ core.VMName, p *peer) bool {
+		none = p.zone != z.name || !p.live()
+		return none
+	})
+	return none
+}
+
+// wantedMembers returns the list that a zone should have, in ascending name order.
+func (c *Control) wantedMembers(z *zone) []core.Member {
+	var wanted []core.Member
+	for _, m := range z.members {
+		if c.stays(z, m) {
+			wanted = append(wanted, m)
+		}
+	}
+	add := func(name core.VMName, inc core.Incarnation, addr netip.AddrPort) {
+		if !slices.ContainsFunc(wanted, func(m core.Member) bool { return m.Name == name }) {
+			wanted = append(wanted, core.Member{Name: name, Incarnation: inc, Addr: addr, Joined: z.epoch + 1})
+		}
+	}
+	if z.name == c.opts.Zone {
+		add(c.opts.Self, c.opts.Incarnation, c.opts.Addr)
+	}
+	c.peers.all(func(_ core.VMName, p *peer) bool {
+		if p.zone == z.name && p.available() && c.now-p.heardSince >= joinAfter {
+			add(p.name, p.incarnation, p.addr)
+		}
+		return true
+	})
+	slices.SortFunc(wanted, func(a, b core.Member) int { return compare(a.Name, b.Name) })
+	return wanted
+}
+
+// stays reports whether a member remains in its zone's list.
+func (c *Control) stays(z *zone, m core.Member) bool {
+	if m.Name == c.opts.Self {
+		return m.Incarnation >= c.opts.Incarnation
+	}
+	p := c.peers.get(m.Name)
+	if p == nil {
+		return true
+	}
+	if p.gone(m.Incarnation) || p.state == core.VMLeaving && p.heard() && len(p.holdings) == 0 {
+		return false
+	}
+	limit := core.SuspectAfter
+	if z.name != c.opts.Zone || !c.selfMember() {
+		limit = orphanAfter
+	}
+	return c.now-max(p.lastHeard, c.startedAt) <= limit
+}
--- /dev/null
+++ b/core/control/stop.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// stopLimit is the time after which a planned stop ends even if work is left.
+const stopLimit = 30 * time.Second
+
+// stopState is the state of a planned stop.
+type stopState struct {
+	leaving       bool
+	since         time.Duration
+	drainedShards int
+	done          bool
+}
+
+// beginStop announces that this VM leaves and starts to hand over its targets.
+func (c *Control) beginStop() {
+	if c.stop.leaving {
+		return
+	}
+	c.stop.leaving = true
+	c.stop.since = c.now
+	c.touch(changeStructure)
+	c.hasNews()
+	c.updateHolders()
+}
+
+// updateStop ends the stop when nothing is held and the shards have finished, or at the limit.
+func (c *Control) updateStop() {
+	s := &c.stop
+	if !s.leaving || s.done {
+		return
+	}
+	finished := s.drainedShards >= c.opts.Shards && (!c.holdsAny() || !c.hasReceiver())
+	if !finished && c.now-s.since < stopLimit {
+		return
+	}
+	s.done = true
+	c.emit(core.Drained{})
+}
+
+// hasReceiver reports whether a VM is left that can take over targets.
+func (c *Control) hasReceiver() bool {
+	found := false
+	c.peers.all(func(_ core.VMName, p *peer) bool {
+		found = p.available()
+		return !found
+	})
+	return found
+}
--- a/core/input.go
+++ b/core/input.go
@@ -138,6 +138,9 @@
 	Incarnation Incarnation `json:"incarnation"`
 	// Addr is the address of the VM's peer port.
 	Addr netip.AddrPort `json:"addr"`
+	// Joined is the epoch in which the VM was added, as far as the writer could foresee it. It
+	// shows a VM that it was removed and added again.
+	Joined Epoch `json:"joined,omitempty"`
 }
 
 // VMListRead is a read of the platform's lagging list of VMs.
@@ -182,14 +185,16 @@
 // SnapshotPublished carries a new snapshot from control to a traffic shard.
 type SnapshotPublished struct{ Snapshot *Snapshot }
 
-// TakeOver tells a traffic shard to hold a target without a handover.
+// TakeOver tells a traffic shard to hold a target without a handover. A second TakeOver with the
+// Number under which the shard already holds the target only replaces the times of the first: it
+// ends or starts the wait for a former holder.
 type TakeOver struct {
 	Target TargetID
 	Number HoldingNumber
 	// First is true when no VM can have held the target before.
 	First bool
 	// FormerUntil is the time until which a former holder may still act; 0 when it is known dead
-	// or there was none. Admission to the target and non-idempotent work wait until then.
+	// or there was none, FormerUnknown while it can't be told. Admission to the target and non-idempotent work wait until then.
 	FormerUntil time.Duration
 	// FormerDiedBy is the latest time at which the former holder was alive, for the quarantine of
 	// non-idempotent requests.
