--- a/internal/coretest/deploy.go
+++ b/internal/coretest/deploy.go
@@ -55,7 +55,7 @@
 		c.Zones = append(c.Zones, core.Zone{Name: z})
 	}
 	s := core.Service{ID: id, Name: d.Service, Contract: d.Contract,
-		Addr: netip.MustParseAddrPort("127.1.0.1:5683")}
+		Addr: ServiceAddr(1)}
 	for i := range d.Targets {
 		s.Targets = append(s.Targets, d.Target(i))
 	}
@@ -92,3 +92,81 @@
 	w.Run(d.Contract.Ramp + 10*time.Second)
 	return w
 }
+
+// Capacity returns the requests a second that the warm targets bear.
+func (d Deployment) Capacity() float64 {
+	return float64(d.Targets*d.Slots) / d.ServiceTime.Seconds()
+}
+
+// AddLoad adds callers with a feed each that together offer a fraction of the capacity: as many
+// reads as postings and a tenth of uploads.
+func (d Deployment) AddLoad(w *World, callers int, fraction float64) {
+	interval := time.Duration(float64(callers) / (fraction * d.Capacity()) * float64(time.Second))
+	for range callers {
+		w.AddCaller(CallerOptions{
+			Service: core.NewServiceID(d.Service), Feed: true,
+			ReadEvery: interval * 100 / 45, PostEvery: interval * 100 / 45, UploadEvery: interval * 10,
+			Quiet: time.Duration(w.Rand.Int64N(int64(2*time.Second))) + time.Millisecond,
+		})
+	}
+}
+
+// SetZone applies a configuration in which a zone has the given state.
+func (w *World) SetZone(zone core.ZoneName, state core.ZoneState) core.Generation {
+	c := w.Config()
+	for i := range c.Zones {
+		if c.Zones[i].Name == zone {
+			c.Zones[i].State = state
+		}
+	}
+	return w.Apply(c)
+}
+
+// ChangeTarget applies a configuration in which a target of the first service is changed.
+func (w *World) ChangeTarget(name string, change func(*core.Target)) core.Generation {
+	c := w.Config()
+	for i := range c.Services[0].Targets {
+		if t := &c.Services[0].Targets[i]; t.Name == name {
+			change(t)
+		}
+	}
+	return w.Apply(c)
+}
+
+// AddConfiguredTarget applies a configuration with another target and starts its process, cold.
+func (w *World) AddConfiguredTarget(d Deployment, t core.Target) core.Generation {
+	c := w.Config()
+	c.Services[0].Targets = append(c.Services[0].Targets, t)
+	w.AddTarget(t, d.Contract, d.ServiceTime, false)
+	return w.Apply(c)
+}
+
+// RemoveTarget applies a configuration without a target; its process goes on.
+func (w *World) RemoveTarget(name string) core.Generation {
+	c := w.Config()
+	kept := c.Services[0].Targets[:0]
+	for _, t := range c.Services[0].Targets {
+		if t.Name != name {
+			kept = append(kept, t)
+		}
+	}
+	c.Services[0].Targets = kept
+	return w.Apply(c)
+}
+
+// RestartZone restarts the processes of all targets in a zone, cold.
+func (w *World) RestartZone(zone core.ZoneName) {
+	for _, t := range w.sortedTargets() {
+		if t.Target.Zone == zone {
+			t.Restart()
+		}
+	}
+}
+
+// Targets returns all target processes in the order of their addresses.
+func (w *World) Targets() []*Target { return w.sortedTargets() }
+
+// ServiceAddr returns the address of the i-th service.
+func ServiceAddr(i byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, i}), 5683)
+}
--- a/internal/coretest/platform.go
+++ b/internal/coretest/platform.go
@@ -98,7 +98,7 @@
 	}
 	w.Platform.Reads++
 	if down {
-		answer(platformFail, core.PlatformFailed{Object: fmt.Sprintf("%T", a)})
+		answer(platformFail, core.PlatformFailed{Object: object(a)})
 		return
 	}
 	w.After(platformTime/2, func() {
@@ -120,7 +120,7 @@
 		return core.HeadsRead{StartedAt: started, Generation: p.generation, Epochs: epochs}
 	case core.ReadManifest:
 		if p.generation == 0 {
-			return core.PlatformFailed{Object: "core.ReadManifest"}
+			return core.PlatformFailed{Object: core.ObjectManifest}
 		}
 		return core.ManifestRead{StartedAt: started, Generation: p.generation, Text: p.configs[p.generation].Text}
 	case core.ReadMembers:
@@ -148,3 +148,16 @@
 	}
 	answer(platformTime/2, out)
 }
+
+// object returns the name of the object that a call is about.
+func object(a core.Action) string {
+	switch a := a.(type) {
+	case core.ReadManifest:
+		return core.ObjectManifest
+	case core.ReadMembers:
+		return core.MembersObject(a.Zone)
+	case core.ReadVMList:
+		return core.ObjectVMList
+	}
+	return core.ObjectHeads
+}
--- a/internal/coretest/target.go
+++ b/internal/coretest/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -290,3 +291,13 @@
 	}
 	return false
 }
+
+// sortedTargets returns the targets in the order of their addresses.
+func (w *World) sortedTargets() []*Target {
+	list := make([]*Target, 0, len(w.targets))
+	for _, t := range w.targets {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *Target) int { return a.Target.Addr.Compare(b.Target.Addr) })
+	return list
+}
--- a/internal/daemon/mailbox.go
+++ b/internal/daemon/mailbox.go
@@ -76,8 +76,15 @@
 	}
 }
 
-// isPacket reports whether an input comes from callers and may be dropped under overload.
+// isPacket reports whether an input carries a caller's packet. Callers repeat packets, so these may be
+// dropped under overload.
 func isPacket(in core.Input) bool {
-	_, ok := in.(core.CallerRequest)
-	return ok
+	switch in := in.(type) {
+	case core.CallerRequest:
+		return true
+	case core.PeerMessage:
+		_, ok := in.Msg.(*core.ForwardRequest)
+		return ok
+	}
+	return false
 }
