--- /dev/null
+++ b/internal/standin/caller/caller_test.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/carrier"
+	"github.com/mangoweir/mangoweir/internal/faultproxy"
+	"github.com/mangoweir/mangoweir/internal/standin/fabric"
+	"github.com/mangoweir/mangoweir/internal/standin/relay"
+	"github.com/mangoweir/mangoweir/internal/standin/target"
+)
+
+// site is a service with one target, behind a relay and a fabric.
+type site struct {
+	fabric *fabric.Fabric
+	target *target.Target
+	ledger *target.Ledger
+	// current is the target that the relay uses.
+	current atomic.Pointer[target.Target]
+}
+
+// newSite starts a site.
+func newSite(opts target.Options) *site {
+	f, err := fabric.Start(fabric.Options{Services: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:0")}, Seed: 5})
+	So(err, ShouldBeNil)
+	s := &site{fabric: f, ledger: target.NewLedger()}
+	opts.Ledger, opts.ReportsLoad, opts.Slots = s.ledger, true, 8
+	s.target, err = target.Start(opts)
+	So(err, ShouldBeNil)
+	s.current.Store(s.target)
+	r, err := relay.Start(relay.Options{Return: f.ReturnAddr(), Incarnation: 1, Targets: func(netip.AddrPort) []netip.AddrPort {
+		return []netip.AddrPort{s.current.Load().Addr()}
+	}})
+	So(err, ShouldBeNil)
+	f.AddVM("vm", r.FabricAddr())
+	Reset(func() {
+		r.Kill()
+		s.target.Close()
+		f.Close()
+	})
+	return s
+}
+
+// caller starts a caller of the site.
+func (s *site) caller(opts Options) *Caller {
+	opts.Name, opts.Service = "treasurer", s.fabric.ServiceAddrs()[0]
+	c, err := Start(opts)
+	So(err, ShouldBeNil)
+	Reset(c.Close)
+	return c
+}
+
+// Guards against a caller that breaks its side of the contract and blames the balancer for it.
+func TestRequests(t *testing.T) {
+	Convey("Reads, postings and uploads are answered and counted", t, func() {
+		s := newSite(target.Options{Name: "a"})
+		c := s.caller(Options{})
+		out := c.Read(t.Context())
+		So([]any{out.Status, out.Code, out.Reply.Target, out.Sent}, ShouldResemble, []any{Answered, codes.Content, "a", 1})
+		So(c.Post(t.Context()), ShouldBeTrue)
+		So(s.ledger.Len(), ShouldEqual, 1)
+		So(c.Upload(t.Context(), 100_000), ShouldBeTrue)
+		st := c.Stats()
+		So([]uint64{st.PostsDone, st.UploadsDone, st.Mismatched, st.Outcomes[core.ClassUpload][Answered]},
+			ShouldResemble, []uint64{1, 1, 0, 98})
+	})
+	Convey("A lost datagram is repeated with the same id, and silence ends at the deadline", t, func() {
+		s := newSite(target.Options{})
+		c := s.caller(Options{FirstRepeat: 20 * time.Millisecond, Deadline: 300 * time.Millisecond})
+		So(s.fabric.SetFaults(faultproxy.Faults{Drop: 1}, faultproxy.Faults{}), ShouldBeNil)
+		out := c.Read(t.Context())
+		So(out.Status, ShouldEqual, Silent)
+		So(out.Sent, ShouldBeBetween, 2, 6)
+		So(out.Took, ShouldBeBetween, 290*time.Millisecond, 400*time.Millisecond)
+	})
+	Convey("After an unknown outcome the ledger is read before the posting is made again", t, func() {
+		s := newSite(target.Options{})
+		c := s.caller(Options{FirstRepeat: time.Second, Deadline: 150 * time.Millisecond})
+		s.target.SetBehavior(target.Behavior{LoseRate: 1})
+		time.AfterFunc(200*time.Millisecond, func() { s.target.SetBehavior(target.Behavior{}) })
+		So(c.Post(t.Context()), ShouldBeTrue)
+		st := c.Stats()
+		So([]uint64{st.PostsDone, st.PostsConfirmed, st.PostsUnknown}, ShouldResemble, []uint64{0, 1, 1})
+		So(s.ledger.Len(), ShouldEqual, 1)
+	})
+	Convey("A refused posting comes back when it was told to, and its key is kept", t, func() {
+		s := newSite(target.Options{ServiceTime: [core.NumClasses]time.Duration{core.ClassRead: time.Hour}})
+		c := s.caller(Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 8 {
+			go c.Read(ctx)
+		}
+		time.Sleep(100 * time.Millisecond)
+		time.AfterFunc(200*time.Millisecond, func() {
+			cancel()
+			s.target.Restart(0)
+		})
+		began := time.Now()
+		So(c.Post(t.Context()), ShouldBeTrue)
+		So(time.Since(began), ShouldBeGreaterThanOrEqualTo, time.Second)
+		So(len(c.Refused()), ShouldEqual, 1)
+		So(s.ledger.Runs(c.Refused()[0]), ShouldEqual, 0)
+	})
+}
+
+// Guards against broken flows that go unseen, and flows counted as broken that are not.
+func TestFeeds(t *testing.T) {
+	fast := Options{RenewAfter: 60 * time.Millisecond, SilenceLimit: 200 * time.Millisecond}
+	Convey("A feed that goes on is not broken, and lost notifications are gaps", t, func() {
+		s := newSite(target.Options{FeedInterval: 10 * time.Millisecond})
+		c := s.caller(fast)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.Watch(ctx)
+		time.Sleep(300 * time.Millisecond)
+		st := c.Stats()
+		So([]uint64{st.FeedsOpened, st.FeedGaps, st.Broken}, ShouldResemble, []uint64{1, 0, 0})
+		So(st.Notifications, ShouldBeGreaterThan, 10)
+		So(s.fabric.SetFaults(faultproxy.Faults{}, faultproxy.Faults{Drop: 0.5}), ShouldBeNil)
+		time.Sleep(200 * time.Millisecond)
+		So(c.Stats().FeedGaps, ShouldBeGreaterThan, 0)
+	})
+	Convey("Silence breaks a flow once, unless its target may be left", t, func() {
+		for _, excused := range []bool{false, true} {
+			s := newSite(target.Options{FeedInterval: 10 * time.Millisecond})
+			opts := fast
+			opts.Excused = func(string, string) bool { return excused }
+			c := s.caller(opts)
+			ctx, cancel := context.WithCancel(t.Context())
+			go c.Watch(ctx)
+			time.Sleep(100 * time.Millisecond)
+			So(s.fabric.SetFaults(faultproxy.Faults{Drop: 1}, faultproxy.Faults{Drop: 1}), ShouldBeNil)
+			time.Sleep(500 * time.Millisecond)
+			So(c.Stats().BrokenSilent == 1, ShouldEqual, !excused)
+			cancel()
+		}
+	})
+	Convey("A change of target breaks a flow, unless the former target may be left", t, func() {
+		for _, excused := range []string{"", "a"} {
+			s := newSite(target.Options{Name: "a"})
+			other, err := target.Start(target.Options{Name: "b"})
+			So(err, ShouldBeNil)
+			Reset(other.Close)
+			c := s.caller(Options{Excused: func(name, _ string) bool { return name == excused }})
+			c.Read(t.Context())
+			s.current.Store(other)
+			c.Read(t.Context())
+			st := c.Stats()
+			So(st.BrokenMoved == 1, ShouldEqual, excused == "")
+			So(st.Moved == 1, ShouldEqual, excused != "")
+			So(c.Target(), ShouldEqual, "b")
+		}
+	})
+}
+
+// Guards against crossed answers that pass for right ones.
+func TestMismatch(t *testing.T) {
+	Convey("An answer with the nonce of another request or an unknown token is a mismatch", t, func() {
+		service, err := carrier.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+		So(err, ShouldBeNil)
+		go service.Serve(t.Context(), func(data []byte, from netip.AddrPort) {
+			m, _ := carrier.ParseMessage(data)
+			for _, reply := range []message.Message{
+				{Token: m.Token, Payload: []byte(`{"nonce":"treasurer-2"}`)},
+				{Token: []byte("token"), Payload: []byte(`{"nonce":"treasurer-1"}`)},
+				{Token: m.Token, Payload: []byte(`{"nonce":"treasurer-1"}`)},
+			} {
+				reply.Code, reply.Type = codes.Content, message.NonConfirmable
+				b, _ := carrier.AppendMessage(nil, &reply)
+				_ = service.Write(b, from)
+			}
+		})
+		c, err := Start(Options{Name: "treasurer", Service: service.Addr()})
+		So(err, ShouldBeNil)
+		Reset(c.Close)
+		So(c.Read(t.Context()).Reply.Nonce, ShouldEqual, "treasurer-1")
+		So(c.Stats().Mismatched, ShouldEqual, 2)
+	})
+	Convey("Observe values wrap around", t, func() {
+		So(newer(5, 6), ShouldBeTrue)
+		So(newer(6, 5), ShouldBeFalse)
+		So(newer(0xffffff, 0), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/standin/caller/stats.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/standin/target"
+)
+
+// Status is how a request ended for its caller.
+type Status uint8
+
+// Ends of a request.
+const (
+	// Answered: a target answered the request.
+	Answered Status = iota
+	// Refused: the request was refused as not run.
+	Refused
+	// Unknown: the balancer says that the outcome is unknown.
+	Unknown
+	// Silent: no answer came before the deadline, so the outcome is unknown.
+	Silent
+	// Abandoned: the caller's context ended.
+	Abandoned
+	// NumStatuses is the number of ends.
+	NumStatuses
+)
+
+// String returns the name that summaries use.
+func (s Status) String() string {
+	names := [NumStatuses]string{"answered", "refused", "unknown", "silent", "abandoned"}
+	if s < NumStatuses {
+		return names[s]
+	}
+	return "invalid"
+}
+
+// Outcome is the end of a request.
+type Outcome struct {
+	Status Status
+	Code   codes.Code
+	Reply  target.Reply
+	// ComeBack is the time to wait before asking again, for Refused and Unknown.
+	ComeBack time.Duration
+	// Reason is the diagnostic text of a refusal.
+	Reason string
+	// Took is the time from the first sending to the end.
+	Took time.Duration
+	// Sent is the number of times that the datagram was sent.
+	Sent int
+}
+
+// Stats are the counts of a caller. Add sums them up.
+type Stats struct {
+	// Outcomes counts requests by class and status; feed registrations are in ClassFeed.
+	Outcomes [core.NumClasses][NumStatuses]uint64
+	Sent     uint64
+	// Mismatched counts answers that belong to another request.
+	Mismatched uint64
+	// Late counts answers to requests that had ended; each is checked for a mismatch.
+	Late uint64
+	// Malformed counts packets that are no answers.
+	Malformed uint64
+
+	// FeedsOpened counts feeds that were answered for the first time.
+	FeedsOpened, Notifications uint64
+	// FeedGaps counts notifications that are missing between two others of the same registration.
+	FeedGaps uint64
+	// FeedStale counts messages of feeds that were overtaken by newer ones.
+	FeedStale uint64
+	// Broken is the sum of BrokenSilent and BrokenMoved.
+	Broken, BrokenSilent, BrokenMoved uint64
+	// Moved counts excused changes of the target.
+	Moved uint64
+
+	PostsDone, PostsConfirmed, PostsGivenUp uint64
+	// PostsUnknown counts postings that had an unknown outcome at some time.
+	PostsUnknown                                  uint64
+	UploadsDone, UploadsFailed, UploadsMismatched uint64
+	UploadRestarts                                uint64
+}
+
+// Add adds the counts of another caller.
+func (s *Stats) Add(o Stats) {
+	for c := range s.Outcomes {
+		for e := range s.Outcomes[c] {
+			s.Outcomes[c][e] += o.Outcomes[c][e]
+		}
+	}
+	for _, p := range []struct {
+		to *uint64
+		n  uint64
+	}{
+		{&s.Sent, o.Sent}, {&s.Mismatched, o.Mismatched}, {&s.Late, o.Late}, {&s.Malformed, o.Malformed},
+		{&s.FeedsOpened, o.FeedsOpened}, {&s.Notifications, o.Notifications}, {&s.FeedGaps, o.FeedGaps},
+		{&s.FeedStale, o.FeedStale}, {&s.Broken, o.Broken}, {&s.BrokenSilent, o.BrokenSilent},
+		{&s.BrokenMoved, o.BrokenMoved}, {&s.Moved, o.Moved}, {&s.PostsDone, o.PostsDone},
+		{&s.PostsConfirmed, o.PostsConfirmed}, {&s.PostsGivenUp, o.PostsGivenUp},
+		{&s.PostsUnknown, o.PostsUnknown}, {&s.UploadsDone, o.UploadsDone},
+		{&s.UploadsFailed, o.UploadsFailed}, {&s.UploadsMismatched, o.UploadsMismatched},
+		{&s.UploadRestarts, o.UploadRestarts},
+	} {
+		*p.to += p.n
+	}
+}
+
+// Count returns the number of requests of all classes with a status.
+func (s *Stats) Count(e Status) uint64 {
+	var n uint64
+	for c := range s.Outcomes {
+		n += s.Outcomes[c][e]
+	}
+	return n
+}
