Add operators' commands

Operators need to check, apply and compare manifests, to take zones out and in, and to see which VMs lag, through the platform or any entry VM.

A lost answer is cleared up by reading back. An unchanged manifest proves nothing, as the write may still be under way; so the same text is written again under the same condition, of which at most one can take effect. Reporting 'not accepted' after one read was ruled out for that reason. When reading back fails, the exit code is 3.

zone starts over after a lost race, since a zone's state does not depend on the rest of the manifest; apply reports the newer generation instead.

core.VMState gets a text form, which status output and the platform's objects use.

Measured: go test -race of the commands passes; it covers two racing operators, lost answers, outages before and during the write, and bad files, directly and through an entry VM.

--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,89 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/contract"
+	"github.com/mangoweir/mangoweir/internal/platform"
+)
+
+// acceptance is the outcome of apply and zone.
+type acceptance struct {
+	Generation core.Generation `json:"generation"`
+	// Changed is false when the manifest in force was the same already.
+	Changed bool `json:"changed"`
+}
+
+func (r acceptance) text() string {
+	if !r.Changed {
+		return fmt.Sprintf("unchanged: generation %d is in force\n", r.Generation)
+	}
+	return fmt.Sprintf("accepted: generation %d\n", r.Generation)
+}
+
+// newApply returns the command that puts a manifest in force.
+func (a *app) newApply() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Put a manifest in force",
+		Long: `Put a manifest in force. FILE may be - for standard input.
+
+The manifest is written only if the one read before is still in force. After a lost answer it is read
+back to find out whether it was accepted. The same text changes nothing. A zone without a state keeps
+the state in force. An address that another service had until a moment ago gets no packets for 15 s.`,
+		Example: "  mangoweir apply --platform http://127.0.0.1:8500 examples/sfax/manifest.jsonc",
+		Args:    cobra.ExactArgs(1),
+	}
+	a.addRemoteFlags(cmd)
+	format := addOutputFlag(cmd)
+	base := cmd.Flags().Uint64("base", 0, "fail unless this generation is in force; 0 accepts any")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		text, err := readFile(cmd, args[0])
+		if err != nil {
+			return err
+		}
+		if _, err := contract.Parse(args[0], text); err != nil {
+			return err
+		}
+		client, err := a.remote.client()
+		if err != nil {
+			return err
+		}
+		result, err := apply(cmd.Context(), client, text, *base)
+		if err != nil {
+			return err
+		}
+		return format.print(cmd.OutOrStdout(), result.text(), result)
+	}
+	return cmd
+}
+
+// apply puts a valid manifest in force. base is the generation that has to be in force, or 0.
+func apply(ctx context.Context, store platform.Store, text []byte, base uint64) (acceptance, error) {
+	inForce, err := readManifest(ctx, store)
+	if err != nil {
+		return acceptance{}, err
+	}
+	if base != 0 && base != uint64(inForce.Generation) {
+		return acceptance{}, &platform.ConflictError{Key: platform.ManifestKey, Expected: base, Version: uint64(inForce.Generation)}
+	}
+	next, err := contract.KeepZoneStates(inForce, contract.Source(text))
+	if err != nil {
+		return acceptance{}, err
+	}
+	return put(ctx, store, inForce, next)
+}
+
+// put writes the text after what is in force, unless it is the same.
+func put(ctx context.Context, store platform.Store, inForce contract.Stored, text []byte) (acceptance, error) {
+	if inForce.Generation > 0 && bytes.Equal(contract.Source(inForce.Text), text) {
+		return acceptance{Generation: inForce.Generation}, nil
+	}
+	gen, err := accept(ctx, store, inForce, text)
+	return acceptance{Generation: gen, Changed: true}, err
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,4 +1,5 @@
-// Package cli holds the commands of the mangoweir binary.
+// Package cli holds the commands of the mangoweir binary. Each command has a constructor in a file
+// of its own, which commands lists. The package keeps no state beyond one command line.
 package cli
 
 import (
@@ -16,21 +17,60 @@
 	ExitUnknown = 3
 )
 
-// Run executes the command line and returns the exit code.
-func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+// app is what the commands of one command line share.
+type app struct {
+	remote remoteFlags
+	// started is true once a command's arguments were accepted; earlier errors are usage errors.
+	started bool
+}
+
+// commands returns all commands in the order of the help text.
+func (a *app) commands() []*cobra.Command {
+	return []*cobra.Command{
+		a.newCheck(),
+		a.newApply(),
+		a.newGet(),
+		a.newDiff(),
+		a.newZone(),
+		a.newStatus(),
+		a.newKeys(),
+		a.newPlatform(),
+		a.newVersion(),
+	}
+}
+
+// newRoot returns the root command. A command that sets PersistentPreRun replaces the root's, and
+// must then set started itself.
+func (a *app) newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "mangoweir",
-		Short:         "Layer-4 load balancer for small public services",
-		SilenceErrors: true,
-		SilenceUsage:  true,
+		Use:   "mangoweir",
+		Short: "Layer-4 load balancer for small public services",
+		Long: `mangoweir is a layer-4 load balancer for small public services.
+
+Exit codes: 0 done, 1 failed, 2 usage error or invalid file, 3 outcome unknown.`,
+		SilenceErrors:    true,
+		SilenceUsage:     true,
+		PersistentPreRun: func(*cobra.Command, []string) { a.started = true },
 	}
+	root.AddCommand(a.commands()...)
+	return root
+}
+
+// Run executes the command line and returns the exit code.
+func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	a := &app{}
+	root := a.newRoot()
 	root.SetArgs(args)
 	root.SetIn(stdin)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitUsage
+	err := root.Execute()
+	if err == nil {
+		return ExitDone
+	}
+	if !a.started {
+		err = &usageError{err}
 	}
-	return ExitDone
+	fmt.Fprintln(stderr, err)
+	return exitCode(err)
 }
--- /dev/null
+++ b/internal/cli/exit.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/mangoweir/mangoweir/internal/jsonc"
+	"github.com/mangoweir/mangoweir/internal/platform"
+)
+
+// usageError is an error in the command line.
+type usageError struct{ err error }
+
+// Error returns the cause and where to find help.
+func (e *usageError) Error() string { return fmt.Sprintf("%v; see mangoweir help", e.err) }
+
+// Unwrap returns the cause.
+func (e *usageError) Unwrap() error { return e.err }
+
+func usagef(format string, args ...any) error { return &usageError{fmt.Errorf(format, args...)} }
+
+// fileError says that a file named on the command line cannot be read.
+type fileError struct{ err error }
+
+// Error returns the cause, which names the file.
+func (e *fileError) Error() string { return fmt.Sprintf("read file: %v", e.err) }
+
+// Unwrap returns the cause.
+func (e *fileError) Unwrap() error { return e.err }
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	var (
+		usage    *usageError
+		file     *fileError
+		problems *jsonc.Problems
+		unknown  *platform.UnknownOutcomeError
+	)
+	switch {
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &problems):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/internal/cli/script_test.go
@@ -0,0 +1,129 @@
+package cli
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/contract"
+	"github.com/mangoweir/mangoweir/internal/platform"
+	standin "github.com/mangoweir/mangoweir/internal/standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"mangoweir": func() { os.Exit(Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts guards against commands whose output, exit code or effect differs from the design
+// page. Scripts find the stand-in at $PLATFORM and an entry VM's HTTP port at $VM.
+func TestScripts(t *testing.T) {
+	examples, err := filepath.Abs("../../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("EXAMPLES", examples)
+			// A process built with -race otherwise sleeps for 1 s before it exits.
+			e.Setenv("GORACE", "atexit_sleep_ms=0")
+			return startStandins(e)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"platform": controlPlatform,
+			"exits":    exits,
+		},
+	})
+}
+
+type standinKey struct{}
+
+func startStandins(e *testscript.Env) error {
+	s := standin.New()
+	url, err := s.Start("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	client, err := platform.NewClient(url, platform.Options{Timeout: 200 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(platform.ObjectsPath, platform.Proxy(client))
+	mux.HandleFunc("GET "+platform.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		platform.WriteStatus(w, platform.Status{Generation: 3, VMs: []core.VMStatus{
+			{Name: "vm-2", Zone: "zb", Generation: 2, State: core.VMLive, HeardMillis: 250},
+			{Name: "vm-1", Zone: "za", Generation: 3, State: core.VMLeaving},
+		}})
+	})
+	vm := httptest.NewServer(mux)
+	e.Defer(vm.Close)
+	e.Defer(func() { _ = s.Close() })
+	e.Values[standinKey{}] = s
+	e.Setenv("PLATFORM", url)
+	e.Setenv("VM", vm.URL)
+	return nil
+}
+
+// controlPlatform is the script command that sets the stand-in's objects and faults.
+func controlPlatform(ts *testscript.TestScript, neg bool, args []string) {
+	s := ts.Value(standinKey{}).(*standin.Server)
+	outages := map[string]standin.Outage{"up": standin.Up, "refusing": standin.Refusing, "cutting": standin.Cutting}
+	switch args[0] {
+	case "outage":
+		s.SetOutage(outages[args[1]])
+	case "lose":
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		s.LoseAnswers(n)
+	case "lose-and-fail":
+		// The next write takes effect, its answer is lost, and the platform fails at once.
+		s.LoseAnswers(1)
+		s.OnPut(func(string) { s.SetOutage(standin.Cutting); s.OnPut(nil) })
+	case "race":
+		// Another operator applies the file between the read and the write of the next command.
+		text := []byte(ts.ReadFile(args[1]))
+		s.OnPut(func(key string) { s.OnPut(nil); applyDirectly(ts, s, text) })
+	case "set":
+		s.Set(args[1], []byte(ts.ReadFile(args[2])))
+	case "version":
+		if got := strconv.FormatUint(s.Object(args[1]).Version, 10); got != args[2] {
+			ts.Fatalf("version of %s is %s, want %s", args[1], got, args[2])
+		}
+	default:
+		ts.Fatalf("unknown control %q", args[0])
+	}
+}
+
+func applyDirectly(ts *testscript.TestScript, s *standin.Server, text []byte) {
+	o := s.Object(platform.ManifestKey)
+	stored, err := contract.Stamp(contract.Stored{Generation: core.Generation(o.Version), Text: o.Value},
+		text, fmt.Sprint("other-", o.Version), time.Now())
+	ts.Check(err)
+	s.Set(platform.ManifestKey, stored)
+}
+
+// exits is the script command that runs a program and checks its exit code.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	got := 0
+	if exit, ok := err.(interface{ ExitCode() int }); ok {
+		got = exit.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if strconv.Itoa(got) != args[0] {
+		ts.Fatalf("exit code %d, want %s", got, args[0])
+	}
+}
