--- a/core/control/heartbeat.go
+++ b/core/control/heartbeat.go
@@ -34,9 +34,9 @@
 	nextAt time.Duration
 	lastAt time.Duration
 	// news is true when something changed that peers should hear before the next interval.
-	news      bool
-	spent     int
-	refilled  time.Duration
+	news     bool
+	spent    int
+	refilled time.Duration
 	// announcement counts the takeovers that heartbeats announce.
 	announcement uint64
 	receivers    []*peer
--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -40,6 +40,22 @@
 	heardAt     time.Duration
 }
 
+// anyIncarnation stands for the unknown incarnation of a VM that a shard handed a target to: the
+// message may have reached a process that this VM has not heard yet.
+const anyIncarnation = ^core.Incarnation(0)
+
+// ended reports whether the process that made the claim is known to have ended.
+func (c *Control) ended(n claim) bool {
+	p := c.peers.get(n.vm)
+	if p == nil {
+		return false
+	}
+	if n.incarnation == anyIncarnation {
+		return p.dead && p.diedAt >= n.heardAt
+	}
+	return p.gone(n.incarnation)
+}
+
 // beats reports whether the claim replaces another one. Equal numbers arise when two VMs take over
 // at the same time; the name decides.
 func (a claim) beats(b claim) bool {
@@ -96,10 +112,9 @@
 
 // release is a handover under way.
 type release struct {
-	to          core.VMName
-	incarnation core.Incarnation
-	number      core.HoldingNumber
-	at          time.Duration
+	to     core.VMName
+	number core.HoldingNumber
+	at     time.Duration
 }
 
 // gone reports whether the elector's process is known to have ended.
@@ -297,7 +312,7 @@
 		return claim{vm: c.opts.Self, number: h.number}
 	}
 	if p := c.peers.get(h.former.vm); p != nil && p.live() && h.former.beats(h.claim) &&
-		c.now-h.former.heardAt < unheldGrace && p.incarnation == h.former.incarnation {
+		c.now-h.former.heardAt < unheldGrace && !c.ended(h.former) {
 		return h.former
 	}
 	return h.claim
@@ -430,12 +445,8 @@
 	h.take = nil
 	h.release = nil
 	h.unheldSince = c.now
-	p := c.peers.get(r.Holder)
-	if p == nil {
-		return
-	}
-	n := claim{r.Holder, p.incarnation, r.Number, c.now}
-	if n.beats(h.former) {
+	n := claim{r.Holder, anyIncarnation, r.Number, c.now}
+	if r.Holder != "" && n.beats(h.former) {
 		h.former = n
 	}
 }
@@ -487,9 +498,6 @@
 func (c *Control) tellRelease(t *target) {
 	r := t.holding.release
 	r.at = c.now
-	if p := c.peers.get(r.to); p != nil {
-		r.incarnation = p.incarnation
-	}
 	c.emit(core.ToShard{Target: t.id, Input: core.Release{Target: t.id, To: r.to, Number: r.number}})
 }
 
@@ -501,14 +509,14 @@
 	r := h.release
 	p := c.peers.get(r.to)
 	switch {
-	case p == nil || p.gone(r.incarnation):
+	case p == nil || p.dead:
 		c.endRelease(h)
 	case c.now-r.at < releaseTimeout:
 	case p.available():
 		c.tellRelease(t)
 	case p.suspect && c.replaceable(p):
 		c.endRelease(h)
-		h.former = claim{r.to, r.incarnation, r.number, c.now}
+		h.former = claim{r.to, anyIncarnation, r.number, c.now}
 		c.takeOver(t, false)
 	}
 }
--- a/core/control/platform.go
+++ b/core/control/platform.go
@@ -148,10 +148,15 @@
 	})
 }
 
-// readsPlatform reports whether this VM reads the platform: as a reader of its zone, or because no
-// peer can tell it what it needs.
+// readsPlatform reports whether this VM reads the platform: as a reader of its zone, as a deputy when
+// no confirmation arrives, or because no peer can tell it what it needs. Deputies are few, so that an
+// outage does not turn a whole fleet into readers.
 func (c *Control) readsPlatform() bool {
-	if c.config.current == nil || c.isReader() {
+	rank := c.rankInZone(c.opts.Zone, saltReader)
+	if c.config.current == nil || rank < readersPerZone {
+		return true
+	}
+	if rank < 2*readersPerZone && c.platformSilent() {
 		return true
 	}
 	alone := true
@@ -162,11 +167,6 @@
 	return alone
 }
 
-// isReader reports whether this VM is among the readers of its zone.
-func (c *Control) isReader() bool {
-	return c.rankInZone(c.opts.Zone, saltReader) < readersPerZone
-}
-
 // Salts of rendezvous orders.
 const (
 	saltReader uint64 = 0x72656164
--- a/core/control/takeover.go
+++ b/core/control/takeover.go
@@ -84,19 +84,12 @@
 	if p := c.peers.get(h.claim.vm); p != nil {
 		return p.suspect && c.replaceable(p)
 	}
-	if p := c.peers.get(h.former.vm); p != nil && p.gone(h.former.incarnation) && !c.claimedSince(t) {
+	if c.ended(h.former) {
 		return true
 	}
 	return c.now-h.unheldSince >= unheldGrace
 }
 
-// claimedSince reports whether the target was announced by a VM that is still alive and may be
-// handing it over.
-func (c *Control) claimedSince(t *target) bool {
-	p := c.peers.get(t.holding.former.vm)
-	return p != nil && p.live() && p.incarnation == t.holding.former.incarnation
-}
-
 // replaceable reports whether a suspect VM may be replaced: the writer of its zone's list has agreed
 // by removing it, or lists can't be changed.
 func (c *Control) replaceable(p *peer) bool {
@@ -183,14 +176,14 @@
 		return never, true
 	}
 	p := c.peers.get(h.former.vm)
-	if p != nil && (p.gone(h.former.incarnation) || c.acknowledged(p, h.take)) {
+	if c.ended(h.former) || p != nil && c.acknowledged(p, h.take) {
 		return never, true
 	}
 	if p != nil && p.zone == t.target.Zone && h.foreign {
 		// VMs of a zone taken out lose authority when they learn of it, or with their confirmation.
 		return h.settledAt, true
 	}
-	if p != nil && c.zone(p.zone).has(p.name, h.former.incarnation) || c.authority.confirmedAt < h.take.at {
+	if p != nil && c.mayBeMember(p, h.former.incarnation) || c.authority.confirmedAt < h.take.at {
 		return 0, false
 	}
 	settled := h.take.at + core.SuspectAfter
@@ -200,6 +193,12 @@
 	return settled, true
 }
 
+// mayBeMember reports whether a process, of which the incarnation may be unknown, is a member.
+func (c *Control) mayBeMember(p *peer, inc core.Incarnation) bool {
+	m, ok := c.zone(p.zone).member(p.name)
+	return ok && (inc == anyIncarnation || m.Incarnation == inc)
+}
+
 // possibleHolders returns the VMs that may hold a target without this VM knowing it.
 func (c *Control) possibleHolders(t *target) []elector {
 	h := &t.holding
@@ -267,7 +266,7 @@
 func (c *Control) formerDiedBy(t *target, until time.Duration) time.Duration {
 	h := &t.holding
 	p := c.peers.get(h.former.vm)
-	if p != nil && p.gone(h.former.incarnation) && until == 0 {
+	if p != nil && c.ended(h.former) && until == 0 {
 		return p.diedAt
 	}
 	return max(until, h.take.at)
--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -272,7 +272,7 @@
 func (w *world) connected(a, b *vm) bool { return !w.cut[[2]core.VMName{a.name, b.name}] }
 
 // setCut cuts or restores the traffic from a to b; the other way is separate.
-func (w *world) setCut(a, b core.VMName, cut bool) { w.cut[[2]core.VMName{a, b}] = cut }
+func (w *world) setCut(a, b *vm, cut bool) { w.cut[[2]core.VMName{a.name, b.name}] = cut }
 
 func (v *vm) send(to core.VMName, m core.Message) {
 	i := slices.IndexFunc(v.w.vms, func(o *vm) bool { return o.name == to })
