--- a/core/message.go
+++ b/core/message.go
@@ -90,7 +90,17 @@
 	// of the request; only then may a non-idempotent request of an unknown flow start.
 	Cleared bool
 	// Unreached is true when the holder of a former candidate could not be asked.
-	Unreached  bool
+	Unreached bool
+	// Asked lists the targets whose holders were asked for the flow, reached or not.
+	Asked []TargetID
+	// Moved is true when the flow was moved to Target from another one within RequestLifetime, so
+	// that records of its requests may be at the holder of the other one.
+	Moved bool
+	// Queried is true when peers were asked about the flow.
+	Queried bool
+	// Renewal is true when Request registers a live feed again whose caller has already got its
+	// first answer.
+	Renewal    bool
 	Ingress    VMName
 	Hops       uint8
 	Generation Generation
@@ -141,6 +151,22 @@
 	InFlight uint16
 	// QuarantineLeft is the time until which the sender itself was in quarantine.
 	QuarantineLeft time.Duration
+	// HoldLeft is the time in which a holder before the sender may still act.
+	HoldLeft time.Duration
+	// IdempotentLeft is the time in which nothing is known about idempotent requests of before.
+	IdempotentLeft time.Duration
+	// RebuildLeft is the time in which flows may appear that a lost holder before the sender had.
+	RebuildLeft time.Duration
+	// Former are the former target sets of the service that the sender knows, newest first. The
+	// receiver may be younger than they are.
+	Former []FormerSetAge
+}
+
+// FormerSetAge is a former target set in a handover.
+type FormerSetAge struct {
+	Set TargetSet
+	// Age is the time since the set was replaced.
+	Age time.Duration
 }
 
 // FlowState is a flow in a handover.
@@ -151,6 +177,11 @@
 	Idle   time.Duration
 	// Feed is the registration of a live feed, if there is one.
 	Feed *Request
+	// FeedToken is the token under which the feed is registered at the target.
+	FeedToken AttemptToken
+	// Unsettled is the time in which repetitions of requests may arrive that were made before the
+	// flow was placed or moved.
+	Unsettled time.Duration
 }
 
 // RecordState is the state of a non-idempotent request.
@@ -173,6 +204,8 @@
 	// Left is the remaining life of the record.
 	Left   time.Duration
 	Answer []byte
+	// Idempotent is true for a request in flight that only takes a slot and has no record.
+	Idempotent bool
 }
 
 // HandoverChunk carries part of a target's state.
--- /dev/null
+++ b/core/traffic/admission_test.go
@@ -0,0 +1,305 @@
+package traffic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against more work in flight at a target than its limit, and against a ramp that grows
+// without good answers or ignores a restart.
+func TestLimit(t *testing.T) {
+	Convey("Given a cold target", t, func() {
+		f := newFleet(t, 1, 1)
+		o := f.owner(1)
+		Convey("it gets one request at a time", func() {
+			for i := range 4 {
+				f.request("a", read(i, 1))
+			}
+			So(f.requests(), ShouldHaveLength, 1)
+			f.verdict(f.last(), core.AnswerOK, "")
+			So(f.requests(), ShouldHaveLength, 2)
+		})
+		Convey("the limit grows in steps over the ramp, only with good answers", func() {
+			f.tick(4 * time.Second)
+			So(o.ramp.limit, ShouldEqual, 1)
+			limits := map[int]bool{}
+			for i := range 40 {
+				f.request("a", read(1, i))
+				f.verdict(f.last(), core.AnswerOK, "")
+				f.tick(100 * time.Millisecond)
+				limits[o.ramp.limit] = true
+			}
+			So(o.ramp.limit, ShouldEqual, 4)
+			So(o.ramp.cold, ShouldBeFalse)
+			So(len(limits), ShouldEqual, 4)
+			So(f.count(core.EventTargetWarm), ShouldEqual, 1)
+		})
+		Convey("it gets nothing without authority", func() {
+			f.authority = 0
+			f.publish()
+			f.request("a", read(1, 1))
+			So(f.requests(), ShouldBeEmpty)
+			f.tick(gateWait)
+			So(f.refusals, ShouldHaveLength, 1)
+			So(f.refusals[0].Reason, ShouldEqual, core.ReasonNoAuthority)
+		})
+		Convey("it gets nothing while a former holder may act", func() {
+			f.in("a", core.Drop{Target: 1, Holder: "x", Number: 2})
+			f.in("a", core.TakeOver{Target: 1, Number: 3, FormerUntil: f.now + 300*time.Millisecond, FormerDiedBy: f.now})
+			f.request("a", read(1, 1))
+			f.tick(250 * time.Millisecond)
+			So(f.requests(), ShouldBeEmpty)
+			f.tick(100 * time.Millisecond)
+			So(f.requests(), ShouldHaveLength, 1)
+		})
+	})
+	Convey("Given a warm target", t, func() {
+		f := newFleet(t, 1, 1)
+		f.warm()
+		o := f.owner(1)
+		Convey("a shed halves the limit and repeated sheds make it cold", func() {
+			f.vms["a"].retryFund = 0
+			for i := range 3 {
+				f.request("a", read(1, i))
+				f.verdict(f.last(), core.AnswerShed, "")
+				So(o.ramp.limit, ShouldEqual, []int{2, 1, 1}[i])
+			}
+			So(o.ramp.cold, ShouldBeTrue)
+			f.in("a", core.TargetProbe{Target: 1, OK: true, Load: &core.LoadReport{Slots: 4}})
+			So(o.ramp.limit, ShouldEqual, 1)
+		})
+		Convey("a new boot id, a cold report and an end of silence make it cold", func() {
+			answer := func(l core.LoadReport) {
+				f.request("a", read(1, int(f.now)))
+				a := answerTo(f.last(), core.AnswerOK, "")
+				a.Load = &l
+				f.in("a", a)
+			}
+			answer(core.LoadReport{Boot: 1, Slots: 4})
+			So(o.ramp.cold, ShouldBeFalse)
+			answer(core.LoadReport{Boot: 2, Slots: 4})
+			So(o.ramp.cold, ShouldBeTrue)
+			f.warm()
+			answer(core.LoadReport{Boot: 2, Slots: 4, Cold: true})
+			So(o.ramp.cold, ShouldBeTrue)
+			f.warm()
+			for range silentProbes {
+				f.in("a", core.TargetProbe{Target: 1})
+			}
+			f.in("a", core.TargetProbe{Target: 1, OK: true})
+			So(o.ramp.cold, ShouldBeTrue)
+		})
+		Convey("a pause of the process ends authority until the next snapshot", func() {
+			f.now += core.ClockJump + time.Second
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldBeEmpty)
+			So(f.refusals[0].Reason, ShouldEqual, core.ReasonNoAuthority)
+			So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+			f.publish()
+			f.request("a", posting(1, 2))
+			So(f.requests(), ShouldHaveLength, 1)
+		})
+		Convey("a snapshot from before a pause gives no authority", func() {
+			old := f.snapshot("a")
+			f.now += core.ClockJump + time.Second
+			f.in("a", core.SnapshotPublished{Snapshot: old})
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldBeEmpty)
+		})
+		Convey("load is reported when it changes, at most every 250 ms", func() {
+			f.loads = nil
+			for i := range 10 {
+				f.request("a", read(i, 1))
+				f.verdict(f.last(), core.AnswerOK, "")
+				f.tick(50 * time.Millisecond)
+			}
+			So(len(f.loads), ShouldBeBetween, 1, 4)
+			f.tick(time.Second)
+			f.loads = nil
+			f.tick(time.Second)
+			So(f.loads, ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against queues without bound, priorities that are ignored, and refusals that come late.
+func TestQueue(t *testing.T) {
+	Convey("Given a cold target with a request in flight", t, func() {
+		f := newFleet(t, 1, 1)
+		f.request("a", read(0, 1))
+		Convey("requests are sent by class, then by deadline, uploads last", func() {
+			late := read(1, 11)
+			late.Deadline = 4 * time.Second
+			soon := read(2, 12)
+			soon.Deadline = 2 * time.Second
+			for _, r := range []core.Request{upload(5, 15), posting(3, 13), late, soon, subscribe(4, 14)} {
+				f.request("a", r)
+			}
+			var order []uint64
+			for range 5 {
+				f.verdict(f.last(), core.AnswerOK, "")
+				order = append(order, f.last().Request.ID.Lo)
+			}
+			So(order, ShouldResemble, []uint64{14, 12, 11, 13, 15})
+		})
+		Convey("a full queue refuses at once, and a higher class displaces a lower one", func() {
+			for i := range 9 {
+				f.request("a", posting(i+1, 1))
+			}
+			So(f.refusals, ShouldHaveLength, 1)
+			So(f.refusals[0].Reason, ShouldEqual, core.ReasonOverload)
+			So(f.refusals[0].Run, ShouldEqual, core.NotRun)
+			So(f.refusals[0].ComeBack, ShouldBeGreaterThan, 0)
+			f.request("a", subscribe(20, 1))
+			So(f.refusals, ShouldHaveLength, 2)
+			So(f.refusals[1].Class, ShouldEqual, core.ClassPosting)
+		})
+		Convey("a request is refused at once when its wait exceeds its deadline or class limit", func() {
+			f.owner(1).ramp.service = time.Second
+			r := read(1, 1)
+			r.Deadline = 500 * time.Millisecond
+			f.request("a", r)
+			So(f.refusals, ShouldHaveLength, 1)
+			f.config.Services[0].Contract.MaxWait[core.ClassRead] = 1500 * time.Millisecond
+			f.publish()
+			f.request("a", read(2, 1))
+			f.request("a", read(3, 1))
+			So(f.refusals, ShouldHaveLength, 2)
+		})
+		Convey("a refused request is refused again when it is repeated", func() {
+			for i := range 9 {
+				f.request("a", read(i+1, 1))
+			}
+			So(f.refusals, ShouldHaveLength, 1)
+			for range 9 {
+				f.verdict(f.last(), core.AnswerOK, "")
+			}
+			n := len(f.requests())
+			f.request("a", read(9, 1))
+			So(f.requests(), ShouldHaveLength, n)
+			So(f.refusals, ShouldHaveLength, 2)
+			So(f.refusals[1].Run, ShouldEqual, core.NotRun)
+		})
+		Convey("an overloaded repetition of a request that ran is not called not run", func() {
+			f.verdict(f.last(), core.AnswerOK, "")
+			for i := range 9 {
+				f.request("a", read(i+1, 1))
+			}
+			f.request("a", read(0, 1))
+			So(f.refusals[len(f.refusals)-1].Run, ShouldEqual, core.RunUnknown)
+		})
+	})
+	Convey("Given a warm target, uploads leave one slot free and wait for others", t, func() {
+		f := newFleet(t, 1, 1)
+		f.warm()
+		for i := range 6 {
+			f.request("a", upload(i, 1))
+		}
+		So(f.requests(), ShouldHaveLength, 3)
+		f.request("a", read(10, 1))
+		So(f.requests(), ShouldHaveLength, 4)
+		f.request("a", read(11, 1))
+		f.verdict(f.requests()[0], core.AnswerOK, "")
+		So(f.last().Request.Class, ShouldEqual, core.ClassRead)
+	})
+}
+
+// Guards against packets to a target that must not get any.
+func TestLastCheck(t *testing.T) {
+	block := map[string]func(f *fleet){
+		"zone out":   func(f *fleet) { f.views[1].ZoneOut = true },
+		"quarantine": func(f *fleet) { f.views[1].NotBefore = f.now + time.Hour },
+		"drained": func(f *fleet) {
+			f.views[1].Removed = true
+			f.views[1].RemovedAt = f.now - time.Minute
+		},
+		"gone":    func(f *fleet) { delete(f.views, 1) },
+		"service": func(f *fleet) { f.views[1].Target.Service = 99 },
+	}
+	for name, change := range block {
+		Convey(fmt.Sprintf("Given queued requests, a target that changes to %s gets none of them", name), t, func() {
+			f := newFleet(t, 1, 1)
+			f.request("a", read(1, 1))
+			f.request("a", read(1, 2))
+			f.request("a", posting(2, 1))
+			So(f.requests(), ShouldHaveLength, 1)
+			change(f)
+			f.publish()
+			f.verdict(f.last(), core.AnswerOK, "")
+			f.request("a", read(1, 3))
+			f.tick(6 * time.Second)
+			So(f.requests(), ShouldHaveLength, 1)
+			So(f.refusals, ShouldHaveLength, 3)
+		})
+	}
+	Convey("Given a known newer generation, new work waits, then only idempotent requests are sent", t, func() {
+		f := newFleet(t, 1, 1)
+		f.newest = 5
+		f.publish()
+		f.request("a", read(1, 1))
+		So(f.requests(), ShouldBeEmpty)
+		f.tick(newerGenerationWait)
+		So(f.requests(), ShouldHaveLength, 1)
+		f.request("a", posting(2, 1))
+		So(f.refusals, ShouldHaveLength, 1)
+	})
+}
+
+// Guards against imbalance and against flows beyond a target's limit.
+func TestPlacement(t *testing.T) {
+	Convey("Given 14 warm targets on 3 VMs", t, func() {
+		f := newFleet(t, 3, 14)
+		f.warm()
+		place := func(n int) {
+			for i := range n {
+				f.request(f.names[i%3], read(i, 1))
+				f.verdict(f.last(), core.AnswerOK, "")
+				if i%20 == 0 {
+					f.tick(250 * time.Millisecond)
+					f.publish()
+				}
+			}
+		}
+		Convey("flows are spread evenly and stay where they are", func() {
+			place(1400)
+			most, total := 0, 0
+			for id := core.TargetID(1); id <= 14; id++ {
+				n := f.owner(id).placed()
+				most = max(most, n)
+				total += n
+			}
+			So(total, ShouldEqual, 1400)
+			So(float64(most)/100, ShouldBeLessThanOrEqualTo, 1.10)
+			at := map[core.FlowKey]core.TargetID{}
+			for _, s := range f.requests() {
+				if was, ok := at[s.Request.Flow]; ok {
+					So(s.Target, ShouldEqual, was)
+				}
+				at[s.Request.Flow] = s.Target
+			}
+			for i := range 200 {
+				f.request(f.names[(i+1)%3], read(i, 2))
+				So(f.last().Target, ShouldEqual, at[testFlow(i)])
+				f.verdict(f.last(), core.AnswerOK, "")
+			}
+		})
+		Convey("a target at its flow limit gets no more flows", func() {
+			for id := range f.views {
+				f.views[id].Target.Connections = 10
+			}
+			f.publish()
+			place(140)
+			for id := core.TargetID(1); id <= 14; id++ {
+				So(f.owner(id).placed(), ShouldBeLessThanOrEqualTo, 10)
+			}
+			f.tick(300 * time.Millisecond)
+			f.publish()
+			f.request("a", read(999, 1))
+			So(f.refusals[len(f.refusals)-1].Reason, ShouldEqual, core.ReasonNoTarget)
+		})
+	})
+}
--- /dev/null
+++ b/core/traffic/backup.go
@@ -0,0 +1,99 @@
+package traffic
+
+import "github.com/mangoweir/mangoweir/core"
+
+// backupCopy holds the ids of the requests that another VM has started at a target.
+type backupCopy struct {
+	number core.HoldingNumber
+	keys   untilTable[reqKey]
+}
+
+// askBackup asks the backup to keep a copy of a record. It reports false when there is nothing to
+// wait for: there is no backup, or the present one has confirmed.
+func (s *Shard) askBackup(o *owner, r *request) bool {
+	b := o.view.Backup
+	if b == "" || b == s.opts.Self || r.confirmed && r.backup == b {
+		return false
+	}
+	o.sequence++
+	r.seq = o.sequence
+	r.backup = b
+	r.confirmed = false
+	r.confirmFrom = s.now
+	s.send(b, &core.RecordStarted{
+		Target: o.id,
+		Number: o.number,
+		Flow:   r.req.Flow,
+		ID:     r.req.ID,
+		Seq:    r.seq,
+	})
+	return true
+}
+
+// onRecordStarted keeps a copy, unless the sender is not the newest holder.
+func (s *Shard) onRecordStarted(from core.VMName, m *core.RecordStarted) {
+	if o := s.owners[m.Target]; o != nil && o.number >= m.Number {
+		return
+	}
+	c := s.backups[m.Target]
+	if c == nil {
+		c = &backupCopy{}
+		c.keys.init()
+		s.backups[m.Target] = c
+	}
+	if m.Number < c.number || c.keys.order.len() >= maxRecords {
+		return
+	}
+	c.number = m.Number
+	c.keys.put(reqKey{m.Flow, m.ID}, s.now+core.RequestLifetime)
+	s.send(from, &core.RecordAck{Target: m.Target, Number: m.Number, Seq: m.Seq})
+}
+
+// onRecordAck queues the request whose record was confirmed.
+func (s *Shard) onRecordAck(from core.VMName, m *core.RecordAck) {
+	o := s.owners[m.Target]
+	if o == nil || m.Number > o.number {
+		return
+	}
+	for _, r := range o.live {
+		if r.state != reqConfirming || r.seq != m.Seq || r.backup != from {
+			continue
+		}
+		if s.now-r.confirmFrom >= backupWait {
+			return
+		}
+		r.confirmed = true
+		r.state = reqQueued
+		s.enqueue(o, r)
+		s.pump(o)
+		return
+	}
+}
+
+// adoptBackup turns the copies of a former holder's started records into records.
+func (s *Shard) adoptBackup(o *owner) {
+	c := s.backups[o.id]
+	if c == nil {
+		return
+	}
+	for c.keys.order.len() > 0 {
+		k := c.keys.order.pop()
+		s.setRecord(o, k, record{
+			state:      core.RecordUnknown,
+			reason:     core.ReasonTargetLost,
+			comeBackAt: s.now + minComeBack,
+			until:      c.keys.m[k],
+		})
+	}
+}
+
+// expireBackups removes the copies whose records are over. Copies expire in the order of arrival,
+// so the order of targets does not matter.
+func (s *Shard) expireBackups() {
+	for id, c := range s.backups {
+		c.keys.expire(s.now)
+		if c.keys.order.len() == 0 {
+			delete(s.backups, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/traffic/handover.go
@@ -0,0 +1,420 @@
+package traffic
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// incomingTime bounds the wait for the rest of a handover.
+const incomingTime = 5 * time.Second
+
+// handoverOut is a handover that the receiver has not confirmed yet.
+type handoverOut struct {
+	to       core.VMName
+	number   core.HoldingNumber
+	chunks   uint32
+	lastEnd  time.Duration
+	outcomes []*core.RequestOutcome
+}
+
+// handoverIn is a handover that has not been received in full.
+type handoverIn struct {
+	from   core.VMName
+	begin  core.HandoverBegin
+	chunks []*core.HandoverChunk
+	since  time.Duration
+}
+
+// onRelease starts to hand a target over.
+func (s *Shard) onRelease(r core.Release) {
+	o := s.owners[r.Target]
+	if o == nil || o.handover != nil || r.To == s.opts.Self || r.Number <= o.number {
+		return
+	}
+	h := &handoverOut{to: r.To, number: r.Number}
+	o.handover = h
+	s.event(core.EventHandoverStarted, o.id)
+	s.send(h.to, s.handoverBegin(o, h))
+	w := chunkWriter{s: s, o: o, h: h}
+	w.writeFlows()
+	w.writeRecords()
+	w.flush()
+	s.sendEnd(o)
+}
+
+func (s *Shard) handoverBegin(o *owner, h *handoverOut) *core.HandoverBegin {
+	b := &core.HandoverBegin{
+		Target:         o.id,
+		Number:         h.number,
+		Limit:          uint16(o.ramp.limit),
+		Cold:           o.ramp.cold,
+		Warm:           s.now - o.ramp.stepAt,
+		Boot:           o.ramp.boot,
+		InFlight:       uint16(o.inFlight),
+		QuarantineLeft: max(o.quarantineUntil-s.now, 0),
+		HoldLeft:       max(o.formerUntil-s.now, 0),
+		IdempotentLeft: max(o.idempotentFrom-s.now, 0),
+		RebuildLeft:    max(o.rebuildUntil-s.now, 0),
+	}
+	if o.view == nil {
+		return b
+	}
+	if c := s.sets[o.view.Target.Service]; c != nil {
+		for _, f := range c.former {
+			if age := s.now - f.ReplacedAt; age <= core.FlowIdle && len(b.Former) < core.MaxFormerSets {
+				b.Former = append(b.Former, core.FormerSetAge{Set: f.Set, Age: age})
+			}
+		}
+	}
+	return b
+}
+
+// chunkWriter sends a target's state in chunks of bounded size.
+type chunkWriter struct {
+	s     *Shard
+	o     *owner
+	h     *handoverOut
+	chunk *core.HandoverChunk
+	size  int
+}
+
+// Sizes of encoded items without their variable parts, rounded up.
+const (
+	flowBytes   = 64
+	feedBytes   = 160
+	recordBytes = 96
+)
+
+// room starts a new chunk when n more bytes do not fit.
+func (w *chunkWriter) room(n int) {
+	if w.chunk != nil && w.size+n > maxChunkBytes {
+		w.flush()
+	}
+	if w.chunk == nil {
+		w.chunk = &core.HandoverChunk{Target: w.o.id, Number: w.h.number}
+	}
+	w.size += n
+}
+
+func (w *chunkWriter) flush() {
+	if w.chunk == nil {
+		return
+	}
+	w.s.send(w.h.to, w.chunk)
+	w.h.chunks++
+	w.chunk = nil
+	w.size = 0
+}
+
+func (w *chunkWriter) writeFlows() {
+	// A registration in flight stays here; the new holder registers it again for later messages.
+	opening := map[core.FlowKey]*feed{}
+	for _, a := range w.o.flights {
+		if a.feed != nil && a.r.state == reqSent {
+			opening[a.r.req.Flow] = a.feed
+		}
+	}
+	w.o.flows.all(func(e *flowEntry) {
+		f := core.FlowState{Flow: e.key, Target: e.target, Idle: e.idle(w.s.now)}
+		f.Unsettled = max(w.o.unsure.m[e.key], w.o.moved.m[e.key]) - w.s.now
+		f.Unsettled = max(f.Unsettled, 0)
+		size := flowBytes
+		fd := w.o.feeds.m[e.key]
+		if fd == nil {
+			fd = opening[e.key]
+		}
+		if fd != nil && e.target == w.o.id {
+			r := fd.req
+			f.Feed = &r
+			f.FeedToken = fd.token
+			size += feedBytes + len(r.Payload)
+		}
+		w.room(size)
+		w.chunk.Flows = append(w.chunk.Flows, f)
+	})
+}
+
+func (w *chunkWriter) writeRecords() {
+	for _, a := range w.o.flights {
+		left := max(a.r.deadline-w.s.now, 0) + cancelGrace
+		if a.freeAt != 0 {
+			left = a.freeAt - w.s.now
+		}
+		w.writeRecord(core.RequestRecord{
+			Flow:       a.r.key.flow,
+			ID:         a.r.key.id,
+			State:      core.RecordSent,
+			Left:       max(left, 0),
+			Idempotent: true,
+		})
+	}
+	seen := map[reqKey]bool{}
+	order := &w.o.records.order
+	for _, k := range order.items[order.head:] {
+		rec := w.o.records.m[k]
+		if rec == nil || seen[k] || rec.state == core.RecordQueued {
+			continue
+		}
+		seen[k] = true
+		m := core.RequestRecord{
+			Flow:   k.flow,
+			ID:     k.id,
+			State:  rec.state,
+			Left:   rec.until - w.s.now,
+			Answer: rec.answer,
+		}
+		if rec.noAnswer || len(rec.answer) > maxChunkBytes-recordBytes {
+			m.State = core.RecordUnknown
+			m.Answer = nil
+		}
+		w.writeRecord(m)
+	}
+}
+
+func (w *chunkWriter) writeRecord(m core.RequestRecord) {
+	w.room(recordBytes + len(m.Answer))
+	w.chunk.Records = append(w.chunk.Records, m)
+}
+
+func (s *Shard) sendEnd(o *owner) {
+	h := o.handover
+	h.lastEnd = s.now
+	s.send(h.to, &core.HandoverEnd{Target: o.id, Number: h.number, Chunks: h.chunks})
+}
+
+// tickHandover repeats the end message until the receiver confirms.
+func (s *Shard) tickHandover(o *owner) {
+	if o.handover != nil && s.now-o.handover.lastEnd >= handoverResend {
+		s.sendEnd(o)
+	}
+}
+
+// holdBack keeps a request that arrives during a handover.
+func (s *Shard) holdBack(o *owner, f *core.ForwardRequest) { s.park(f, handoverWait) }
+
+// onHandoverAck completes a handover, or resumes when the receiver declines.
+func (s *Shard) onHandoverAck(from core.VMName, m *core.HandoverAck) {
+	o := s.owners[m.Target]
+	if o == nil || o.handover == nil || o.handover.to != from || o.handover.number != m.Number {
+		return
+	}
+	if m.OK {
+		s.completeHandover(o)
+		return
+	}
+	s.resumeHolding(o)
+}
+
+// confirmHandovers completes the handovers that control knows to have succeeded.
+func (s *Shard) confirmHandovers() {
+	for _, o := range slices.Clone(s.ordered) {
+		h := o.handover
+		if h != nil && o.view != nil && o.view.Holder == h.to && o.view.Number >= h.number {
+			s.completeHandover(o)
+		}
+	}
+}
+
+// abortHandovers resumes when the receiver's process is known to be dead. It may have confirmed and
+// started requests before, which leads to a quarantine.
+func (s *Shard) abortHandovers(peer core.VMName) {
+	for _, o := range s.ordered {
+		if o.handover != nil && o.handover.to == peer {
+			o.quarantineUntil = max(o.quarantineUntil, s.now+core.RequestLifetime)
+			o.idempotentFrom = max(o.idempotentFrom, s.now+core.RequestLifetime)
+			s.resumeHolding(o)
+		}
+	}
+}
+
+func (s *Shard) resumeHolding(o *owner) {
+	o.handover = nil
+	s.event(core.EventHandoverFailed, o.id)
+	s.retryParked()
+	s.pump(o)
+}
+
+// completeHandover ends the holding and forwards what has waited.
+func (s *Shard) completeHandover(o *owner) {
+	h := o.handover
+	o.handover = nil
+	o.to = h.to
+	o.toNumber = h.number
+	s.uninstall(o)
+	s.emit(core.HolderChanged{Target: o.id, Holder: h.to, Number: h.number})
+	for _, m := range h.outcomes {
+		s.send(o.to, m)
+	}
+	for _, r := range slices.Clone(o.live) {
+		if r.state != reqSent || r.requeued {
+			s.handOn(o, r)
+		}
+	}
+	s.forwardHeldBack(o)
+}
+
+// handOn forwards a request that was not sent to the new holder.
+func (s *Shard) handOn(o *owner, r *request) {
+	s.finish(o, r)
+	delete(o.records.m, r.key)
+	if r.renewal {
+		return
+	}
+	f := r.forward(s)
+	f.Target = o.id
+	s.send(o.to, f)
+}
+
+// forwardHeldBack sends the requests that arrived during the handover to the new holder.
+func (s *Shard) forwardHeldBack(o *owner) {
+	waiting := s.parked
+	s.parked = nil
+	for _, p := range waiting {
+		if p.f.Target != o.id {
+			s.parked = append(s.parked, p)
+			continue
+		}
+		f := *p.f
+		f.Age += s.now - p.since
+		f.Hops++
+		s.send(o.to, &f)
+	}
+}
+
+// reportOutcome tells the new holder about the end of an attempt that stayed here.
+func (s *Shard) reportOutcome(o *owner, a *attempt) {
+	if o.to == "" && o.handover == nil {
+		return
+	}
+	r := a.r
+	m := &core.RequestOutcome{
+		Target:     o.id,
+		Number:     o.toNumber,
+		Idempotent: r.req.Idempotent,
+		Record:     core.RequestRecord{Flow: r.key.flow, ID: r.key.id, State: core.RecordUnknown},
+	}
+	if rec := o.records.get(r.key); rec != nil {
+		m.Record.State = rec.state
+		m.Record.Left = rec.until - s.now
+		m.Record.Answer = rec.answer
+	}
+	if o.handover != nil {
+		m.Number = o.handover.number
+		o.handover.outcomes = append(o.handover.outcomes, m)
+		return
+	}
+	s.send(o.to, m)
+	if r.requeued {
+		s.handOn(o, r)
+	}
+}
+
+// onHandoverBegin starts to receive a target's state.
+func (s *Shard) onHandoverBegin(from core.VMName, m *core.HandoverBegin) {
+	if o := s.owners[m.Target]; o != nil && o.number >= m.Number {
+		return
+	}
+	if in := s.incoming[m.Target]; in != nil && in.begin.Number > m.Number {
+		return
+	}
+	s.incoming[m.Target] = &handoverIn{from: from, begin: *m, since: s.now}
+}
+
+func (s *Shard) onHandoverChunk(from core.VMName, m *core.HandoverChunk) {
+	in := s.incoming[m.Target]
+	if in != nil && in.from == from && in.begin.Number == m.Number {
+		in.chunks = append(in.chunks, m)
+	}
+}
+
+// onHandoverEnd starts to hold the target when its state is complete.
+func (s *Shard) onHandoverEnd(from core.VMName, m *core.HandoverEnd) {
+	ack := &core.HandoverAck{Target: m.Target, Number: m.Number}
+	if o := s.owners[m.Target]; o != nil && o.number >= m.Number {
+		// The confirmation was lost, or this VM holds the target under a higher number.
+		ack.OK = o.receivedFrom == from && o.number == m.Number
+		s.send(from, ack)
+		return
+	}
+	in := s.incoming[m.Target]
+	ok := in != nil && in.from == from && in.begin.Number == m.Number
+	ok = ok && uint32(len(in.chunks)) == m.Chunks && s.snap != nil && !s.stopped && !s.snap.Leaving
+	delete(s.incoming, m.Target)
+	if !ok {
+		s.send(from, ack)
+		return
+	}
+	s.receive(in)
+	ack.OK = true
+	s.send(from, ack)
+	s.retryParked()
+}
+
+// receive installs a target's state.
+func (s *Shard) receive(in *handoverIn) {
+	b := &in.begin
+	o := s.newOwner(b.Target, b.Number)
+	o.receivedFrom = in.from
+	o.ramp.limit = max(int(b.Limit), 1)
+	if o.view != nil {
+		o.ramp.limit = min(o.ramp.limit, o.ramp.capacity())
+		s.inherit(o.view.Target.Service, b.Former)
+	}
+	o.ramp.cold = b.Cold
+	o.ramp.stepAt = s.now - b.Warm
+	o.ramp.boot = b.Boot
+	o.quarantineUntil = s.now + b.QuarantineLeft
+	o.formerUntil = s.now + b.HoldLeft
+	o.rebuildUntil = s.now + b.RebuildLeft
+	// Idempotent requests have no records, and refusals of them may cross repetitions.
+	o.idempotentFrom = s.now + max(b.IdempotentLeft, core.RequestLifetime)
+	for _, c := range in.chunks {
+		s.receiveChunk(o, c)
+	}
+	delete(s.backups, o.id)
+	s.install(o)
+	s.event(core.EventHandoverDone, o.id)
+	s.queueRenewals(o)
+	s.pump(o)
+}
+
+func (s *Shard) receiveChunk(o *owner, c *core.HandoverChunk) {
+	for i := range c.Flows {
+		s.receiveFlow(o, &c.Flows[i])
+	}
+	for i := range c.Records {
+		m := &c.Records[i]
+		k := reqKey{m.Flow, m.ID}
+		if m.Idempotent {
+			o.remote.add(k, s.now+m.Left)
+			o.inFlight++
+			continue
+		}
+		s.setRecord(o, k, s.recordFrom(m))
+	}
+}
+
+func (s *Shard) receiveFlow(o *owner, f *core.FlowState) {
+	o.setFlow(f.Flow, f.Target, s.now-f.Idle)
+	if f.Unsettled > 0 {
+		table := &o.unsure
+		if f.Target != o.id {
+			table = &o.moved
+		}
+		table.put(f.Flow, s.now+f.Unsettled)
+	}
+	if f.Feed == nil {
+		return
+	}
+	o.feeds.put(&feed{o: o, req: *f.Feed, token: f.FeedToken, seen: s.now - f.Idle, renew: true, renewAt: s.now})
+}
+
+func (s *Shard) expireIncoming() {
+	for id, in := range s.incoming {
+		if s.now-in.since > incomingTime {
+			delete(s.incoming, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/traffic/handover_test.go
@@ -0,0 +1,288 @@
+package traffic
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// release hands a target over and publishes the new holder.
+func (f *fleet) release(id core.TargetID, to core.VMName, n core.HoldingNumber) {
+	from := f.views[id].Holder
+	f.in(from, core.Release{Target: id, To: to, Number: n})
+	f.views[id].Holder, f.views[id].Desired, f.views[id].Number = to, to, n
+	f.publish()
+}
+
+// Guards against flows, records, feeds and requests that a handover loses or runs twice.
+func TestHandover(t *testing.T) {
+	Convey("Given a holder with flows, records, a feed and a request in flight", t, func() {
+		f := newFleet(t, 2, 1)
+		f.warm()
+		f.request("a", posting(1, 1))
+		f.verdict(f.last(), core.AnswerOK, "paid")
+		f.request("a", subscribe(2, 1))
+		feed := f.last()
+		f.verdict(feed, core.AnswerNotification, "first")
+		f.request("a", posting(3, 1))
+		flight := f.last()
+		Convey("the new holder has the limit, the flows and the records", func() {
+			f.release(1, "b", 2)
+			o := f.vms["b"].owners[1]
+			So(o, ShouldNotBeNil)
+			So(f.vms["a"].owners, ShouldBeEmpty)
+			So(o.ramp.limit, ShouldEqual, 4)
+			So(o.placed(), ShouldEqual, 3)
+			So(o.inFlight, ShouldEqual, 2)
+			f.answers = nil
+			f.request("b", posting(1, 1))
+			So(f.answers, ShouldHaveLength, 1)
+			So(string(f.answers[0].Payload), ShouldEqual, "paid")
+		})
+		Convey("requests in flight stay, and their outcome is reported", func() {
+			f.release(1, "b", 2)
+			n := len(f.requests())
+			f.request("b", posting(3, 1))
+			So(f.requests(), ShouldHaveLength, n)
+			f.verdict(flight, core.AnswerOK, "booked")
+			o := f.vms["b"].owners[1]
+			So(o.inFlight, ShouldEqual, 1)
+			f.answers = nil
+			f.request("b", posting(3, 1))
+			So(string(f.answers[0].Payload), ShouldEqual, "booked")
+			So(f.requests(), ShouldHaveLength, n)
+		})
+		Convey("a shed request goes to the new holder and is sent once more", func() {
+			f.release(1, "b", 2)
+			n := len(f.requests())
+			f.verdict(flight, core.AnswerShed, "")
+			So(f.requests(), ShouldHaveLength, n+1)
+			So(f.last().Token>>32, ShouldEqual, 2)
+		})
+		Convey("the next request of a flow with one in flight waits for its end", func() {
+			f.release(1, "b", 2)
+			n := len(f.requests())
+			f.request("b", posting(3, 2))
+			So(f.requests(), ShouldHaveLength, n)
+			f.verdict(flight, core.AnswerOK, "")
+			So(f.requests(), ShouldHaveLength, n+1)
+		})
+		Convey("the new holder renews the feed, and its messages reach the caller", func() {
+			f.release(1, "b", 2)
+			renewal := f.last()
+			So(renewal.Request.Method, ShouldEqual, core.MethodSubscribe)
+			So(renewal.Token, ShouldNotEqual, feed.Token)
+			f.answers = nil
+			f.verdict(feed, core.AnswerNotification, "old")
+			f.verdict(renewal, core.AnswerNotification, "new")
+			So(f.answers, ShouldHaveLength, 2)
+			So(f.answers[1].ID, ShouldResemble, feed.Request.ID)
+			So(f.answers[1].Notification, ShouldBeTrue)
+			So(f.sent[len(f.sent)-1].Kind, ShouldEqual, core.SendCancel)
+			So(f.sent[len(f.sent)-1].Token, ShouldEqual, feed.Token)
+		})
+		Convey("waiting requests are forwarded after the confirmation", func() {
+			f.hold = func(_ core.VMName, m core.Message) bool {
+				_, ok := m.(*core.HandoverAck)
+				return ok
+			}
+			f.in("a", core.Release{Target: 1, To: "b", Number: 2})
+			n := len(f.requests())
+			f.request("a", read(1, 5))
+			So(f.requests(), ShouldHaveLength, n)
+			f.hold = nil
+			f.in("a", core.PeerMessage{From: "b", Msg: f.held[0].Msg})
+			So(f.requests(), ShouldHaveLength, n+1)
+			So(f.last().Token>>32, ShouldEqual, 2)
+		})
+		Convey("a declined handover resumes", func() {
+			f.vms["b"].stopped = true
+			f.in("a", core.Release{Target: 1, To: "b", Number: 2})
+			So(f.vms["a"].owners[1].handover, ShouldBeNil)
+			n := len(f.requests())
+			f.request("a", posting(1, 9))
+			So(f.requests(), ShouldHaveLength, n+1)
+		})
+		Convey("a handover without confirmation refuses waiting requests without a promise", func() {
+			f.cut["b"] = true
+			f.in("a", core.Release{Target: 1, To: "b", Number: 2})
+			f.request("a", posting(1, 9))
+			f.tick(handoverWait)
+			So(f.refusals, ShouldHaveLength, 1)
+			So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+			f.in("a", core.LinkEvent{Peer: "b", State: core.LinkRefused})
+			n := len(f.requests())
+			f.request("a", posting(1, 10))
+			So(f.requests(), ShouldHaveLength, n)
+			f.request("a", read(1, 11))
+			So(f.requests(), ShouldHaveLength, n+1)
+		})
+		Convey("an incomplete handover is declined", func() {
+			f.hold = func(_ core.VMName, m core.Message) bool {
+				_, ok := m.(*core.HandoverChunk)
+				return ok
+			}
+			f.in("a", core.Release{Target: 1, To: "b", Number: 2})
+			So(f.vms["b"].owners, ShouldBeEmpty)
+			So(f.vms["a"].owners[1].handover, ShouldBeNil)
+		})
+	})
+	Convey("Given 2000 flows with large feeds, chunks stay below 60 KB", t, func() {
+		f := newFleet(t, 2, 1)
+		o := f.owner(1)
+		for i := range 2000 {
+			o.setFlow(testFlow(i), 1, f.now)
+			r := subscribe(i, 1)
+			r.Payload = make([]byte, 1000)
+			o.feeds.put(&feed{o: o, req: r})
+		}
+		f.hold = func(_ core.VMName, m core.Message) bool {
+			c, ok := m.(*core.HandoverChunk)
+			if ok {
+				size := 0
+				for _, x := range c.Flows {
+					size += 100 + len(x.Feed.Payload)
+				}
+				So(size, ShouldBeLessThan, 60<<10)
+			}
+			return false
+		}
+		f.release(1, "b", 2)
+		So(f.vms["b"].owners[1].placed(), ShouldEqual, 2000)
+		So(f.vms["b"].owners[1].feeds.m, ShouldHaveLength, 2000)
+		So(f.requests(), ShouldHaveLength, 1)
+	})
+	Convey("Given former sets that the receiver is too young to know, it finds flows by them", t, func() {
+		f := newFleet(t, 2, 2)
+		f.warm()
+		i := 0
+		for f.vms["a"].candidates(testFlow(i))[0] != 2 {
+			i++
+		}
+		f.request("a", read(i, 1))
+		f.verdict(f.last(), core.AnswerOK, "")
+		f.replaceSet(1)
+		f.publish()
+		former := f.former
+		f.former = nil
+		f.release(2, "a", 2)
+		f.vms["b"] = New(Options{Self: "b", Incarnation: 2})
+		f.publishTo("b")
+		f.former = former
+		f.publishTo("a")
+		f.former = nil
+		f.in("a", core.Release{Target: 1, To: "b", Number: 2})
+		f.views[1].Holder = "b"
+		f.publishTo("b")
+		f.request("b", read(i, 2))
+		So(f.last().Target, ShouldEqual, 2)
+	})
+}
+
+// Guards against feeds that stall when their target leaves service, and packets to that target.
+func TestZoneOut(t *testing.T) {
+	Convey("Given feeds and records on a target whose zone is taken out", t, func() {
+		f := newFleet(t, 2, 2)
+		f.warm()
+		flows := 0
+		for i := range 40 {
+			f.request("a", subscribe(i, 1))
+			f.verdict(f.last(), core.AnswerNotification, "")
+			if f.last().Target == 1 {
+				flows++
+			}
+		}
+		So(flows, ShouldBeGreaterThan, 5)
+		i := 0
+		for f.vms["a"].candidates(testFlow(i))[0] != 1 {
+			i++
+		}
+		f.request("a", posting(i, 7))
+		f.verdict(f.last(), core.AnswerOK, "paid")
+		f.views[1].ZoneOut = true
+		f.replaceSet(2)
+		f.publish()
+		f.release(1, "b", 2)
+		f.sent = nil
+		f.answers = nil
+		Convey("the feeds are registered on accepting targets, and nothing is sent to the old one", func() {
+			n := 0
+			for range 40 {
+				f.tick(50 * time.Millisecond)
+				for n < len(f.requests()) {
+					f.verdict(f.requests()[n], core.AnswerNotification, "")
+					n++
+				}
+			}
+			So(f.answers, ShouldHaveLength, flows)
+			for _, s := range f.sent {
+				So(s.Target, ShouldEqual, 2)
+			}
+			for _, a := range f.answers {
+				So(a.Notification, ShouldBeTrue)
+			}
+			So(f.owner(2).feeds.m, ShouldHaveLength, 40)
+		})
+		Convey("a repeated posting is answered from the record, and a new one runs elsewhere", func() {
+			f.request("a", posting(i, 7))
+			So(f.answers, ShouldHaveLength, 1)
+			f.request("a", posting(i, 8))
+			So(f.last().Target, ShouldEqual, 2)
+		})
+	})
+}
+
+// Guards against a planned stop that ends with work in flight, or never.
+func TestDrain(t *testing.T) {
+	Convey("Given a leaving VM", t, func() {
+		f := newFleet(t, 2, 1)
+		f.warm()
+		f.request("a", posting(1, 1))
+		s := f.last()
+		f.in("a", core.Stop{})
+		So(f.drained, ShouldEqual, 0)
+		f.release(1, "b", 2)
+		So(f.drained, ShouldEqual, 0)
+		f.verdict(s, core.AnswerOK, "")
+		f.tick(100 * time.Millisecond)
+		So(f.drained, ShouldEqual, 1)
+		So(f.answers, ShouldHaveLength, 1)
+	})
+}
+
+// Guards against flows that a lost holder's successor places anew although a peer knows them.
+func TestQuery(t *testing.T) {
+	Convey("Given a redirected flow whose placing owner was lost", t, func() {
+		f := newFleet(t, 3, 3)
+		f.warm()
+		f.request("c", read(1, 1))
+		f.verdict(f.last(), core.AnswerOK, "")
+		home := f.last().Target
+		vm := f.vms[f.views[home].Holder]
+		other := home%3 + 1
+		vm.owners[home].setFlow(testFlow(1), other, f.now)
+		f.request("c", read(1, 2))
+		So(f.last().Target, ShouldEqual, other)
+		f.verdict(f.last(), core.AnswerOK, "")
+		f.in(f.views[home].Holder, core.Drop{Target: home, Holder: "x", Number: 2})
+		f.in(f.views[home].Holder, core.TakeOver{Target: home, Number: 3, FormerDiedBy: f.now})
+		for _, v := range f.vms {
+			v.notes = newFlowTable(0)
+		}
+		f.request("b", read(1, 3))
+		f.tick(queryWait)
+		So(f.last().Request.ID.Lo, ShouldEqual, 3)
+		So(f.last().Target, ShouldEqual, other)
+	})
+	Convey("Given a successor, a flow that no peer knows is placed after the wait", t, func() {
+		f := newFleet(t, 2, 1)
+		f.in("a", core.Drop{Target: 1, Holder: "x", Number: 2})
+		f.in("a", core.TakeOver{Target: 1, Number: 3, FormerDiedBy: f.now})
+		f.request("a", read(1, 1))
+		So(f.requests(), ShouldBeEmpty)
+		f.tick(queryWait)
+		So(f.requests(), ShouldHaveLength, 1)
+	})
+}
--- /dev/null
+++ b/core/traffic/helpers_test.go
@@ -0,0 +1,268 @@
+package traffic
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+const testService = core.ServiceID(7)
+
+// fleet is a set of one-shard VMs with a shared view, whose messages arrive at once.
+type fleet struct {
+	t     testing.TB
+	now   time.Duration
+	vms   map[core.VMName]*Shard
+	names []core.VMName
+	// cut lists VMs that get no messages.
+	cut map[core.VMName]bool
+	// hold keeps messages for which it returns true.
+	hold func(to core.VMName, m core.Message) bool
+	held []core.SendPeer
+
+	config  *core.Config
+	current []core.TargetID
+	former  []core.FormerSet
+	views   map[core.TargetID]*core.TargetView
+	// authority is the length of the authority that publish gives.
+	authority time.Duration
+	newest    core.Generation
+
+	sent     []core.SendTarget
+	answers  []core.AnswerCaller
+	refusals []core.RefuseCaller
+	events   []core.Event
+	loads    []core.LoadChanged
+	holders  []core.HolderChanged
+	drained  int
+	// queries counts FlowQuery messages.
+	queries int
+}
+
+// newFleet returns VMs "a", "b" and so on that hold the given number of targets in turn.
+func newFleet(t testing.TB, vms, targets int) *fleet {
+	f := &fleet{t: t, now: time.Hour, vms: map[core.VMName]*Shard{}, cut: map[core.VMName]bool{},
+		views: map[core.TargetID]*core.TargetView{}, authority: time.Hour}
+	f.config = &core.Config{
+		Generation: 1,
+		Zones:      []core.Zone{{Name: "z"}},
+		Services: []core.Service{{ID: testService, Contract: core.Contract{
+			ColdLimit: 1, Ramp: 3 * time.Second, QueueLimit: 8,
+			DefaultDeadline: 5 * time.Second, Drain: 10 * time.Second}}},
+	}
+	for i := range vms {
+		name := core.VMName(rune('a' + i))
+		f.names = append(f.names, name)
+		f.vms[name] = New(Options{Self: name, Incarnation: core.Incarnation(i + 1), TokenStep: 1})
+	}
+	for i := range targets {
+		f.addTarget(core.TargetID(i+1), f.names[i%vms])
+	}
+	f.publish()
+	for i := range targets {
+		id := core.TargetID(i + 1)
+		f.in(f.views[id].Holder, core.TakeOver{Target: id, Number: 1, First: true})
+	}
+	return f
+}
+
+func (f *fleet) addTarget(id core.TargetID, holder core.VMName) {
+	addr := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:5683", id))
+	f.views[id] = &core.TargetView{
+		Target: core.Target{ID: id, Service: testService, Addr: addr, Zone: "z", Slots: 4, Connections: 2000, Weight: 1},
+		Holder: holder, Desired: holder, Number: 1,
+	}
+	f.current = append(f.current, id)
+}
+
+// replaceSet makes the present set of accepting targets a former one.
+func (f *fleet) replaceSet(ids ...core.TargetID) {
+	f.former = append([]core.FormerSet{{Set: targetSet(f.current), ReplacedAt: f.now}}, f.former...)
+	f.current = ids
+	f.config.Generation++
+}
+
+func targetSet(ids []core.TargetID) core.TargetSet {
+	s := core.TargetSet{IDs: slices.Clone(ids)}
+	for range ids {
+		s.Weights = append(s.Weights, 1)
+	}
+	return s
+}
+
+func (f *fleet) snapshot(name core.VMName) *core.Snapshot {
+	cfg := *f.config
+	s := &core.Snapshot{Self: name, Zone: "z", Config: &cfg,
+		Services: map[core.ServiceID]*core.ServiceView{testService: {
+			Service: &cfg.Services[0], Current: targetSet(f.current), Former: slices.Clone(f.former)}},
+		Targets:        map[core.TargetID]*core.TargetView{},
+		AuthorityUntil: f.now + f.authority, NewestGeneration: max(f.newest, cfg.Generation), NewestKnownSince: f.now}
+	for id, v := range f.views {
+		c := *v
+		s.Targets[id] = &c
+	}
+	for _, p := range f.names {
+		if p != name {
+			s.Peers = append(s.Peers, p)
+		}
+	}
+	return s
+}
+
+func (f *fleet) publish() {
+	for _, n := range f.names {
+		f.publishTo(n)
+	}
+}
+
+func (f *fleet) publishTo(n core.VMName) { f.in(n, core.SnapshotPublished{Snapshot: f.snapshot(n)}) }
+
+// in handles an input at a VM and all messages that follow from it.
+func (f *fleet) in(vm core.VMName, in core.Input) {
+	f.collect(vm, f.vms[vm].Handle(in, f.now, nil))
+}
+
+func (f *fleet) collect(vm core.VMName, out []core.Action) {
+	for _, a := range out {
+		switch a := a.(type) {
+		case core.SendPeer:
+			f.deliver(vm, a)
+		case core.SendTarget:
+			f.sent = append(f.sent, a)
+		case core.AnswerCaller:
+			f.answers = append(f.answers, a)
+		case core.RefuseCaller:
+			f.refusals = append(f.refusals, a)
+		case core.Event:
+			f.events = append(f.events, a)
+		case core.LoadChanged:
+			f.loads = append(f.loads, a)
+			if v := f.views[a.Target]; v != nil {
+				v.Load = a.Load
+			}
+		case core.HolderChanged:
+			f.holders = append(f.holders, a)
+		case core.ShardDrained:
+			f.drained++
+		}
+	}
+}
+
+func (f *fleet) deliver(from core.VMName, a core.SendPeer) {
+	if _, ok := a.Msg.(*core.FlowQuery); ok {
+		f.queries++
+	}
+	if f.hold != nil && f.hold(a.To, a.Msg) {
+		f.held = append(f.held, a)
+		return
+	}
+	if f.vms[a.To] != nil && !f.cut[a.To] && !(f.cut[from] && a.To != from) {
+		f.in(a.To, core.PeerMessage{From: from, Msg: a.Msg})
+	}
+}
+
+// tick lets time pass in steps of 50 ms.
+func (f *fleet) tick(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now += 50 * time.Millisecond
+		for _, n := range f.names {
+			if !f.cut[n] {
+				f.in(n, core.Tick{})
+			}
+		}
+	}
+}
+
+func testFlow(i int) core.FlowKey {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(i >> 8), byte(i)}), 4000)
+	return core.NewFlowKey(addr, testService)
+}
+
+func read(flow, id int) core.Request {
+	return core.Request{Flow: testFlow(flow), ID: core.RequestID{Lo: uint64(id)}, Class: core.ClassRead, Idempotent: true}
+}
+
+func posting(flow, id int) core.Request {
+	r := read(flow, id)
+	r.Class = core.ClassPosting
+	r.Idempotent = false
+	return r
+}
+
+func subscribe(flow, id int) core.Request {
+	r := read(flow, id)
+	r.Class = core.ClassFeed
+	r.Method = core.MethodSubscribe
+	r.Payload = []byte("subscribe")
+	return r
+}
+
+func upload(flow, id int) core.Request {
+	r := read(flow, id)
+	r.Class = core.ClassUpload
+	r.Sticky = true
+	return r
+}
+
+func (f *fleet) request(vm core.VMName, r core.Request) { f.in(vm, core.CallerRequest{Request: r}) }
+
+// requests returns the messages to targets that are not cancellations.
+func (f *fleet) requests() []core.SendTarget {
+	return slices.DeleteFunc(slices.Clone(f.sent), func(s core.SendTarget) bool { return s.Kind != core.SendRequest })
+}
+
+func (f *fleet) cancels() int { return len(f.sent) - len(f.requests()) }
+
+// last returns the newest request sent to a target.
+func (f *fleet) last() core.SendTarget {
+	r := f.requests()
+	if len(r) == 0 {
+		f.t.Fatal("nothing was sent to a target")
+	}
+	return r[len(r)-1]
+}
+
+func answerTo(s core.SendTarget, status core.AnswerStatus, payload string) core.TargetAnswer {
+	return core.TargetAnswer{From: s.Addr, Flow: s.Request.Flow, Token: s.Token, Status: status, Payload: []byte(payload)}
+}
+
+// verdict answers an attempt at the VM that sent it.
+func (f *fleet) verdict(s core.SendTarget, status core.AnswerStatus, payload string) {
+	vm := f.names[int(s.Token>>32)-1]
+	f.in(vm, answerTo(s, status, payload))
+}
+
+// warm makes all targets warm at once.
+func (f *fleet) warm() {
+	for _, vm := range f.vms {
+		for _, o := range vm.ordered {
+			o.ramp.cold = false
+			o.ramp.limit = 4
+		}
+	}
+	f.tick(300 * time.Millisecond)
+	f.publish()
+}
+
+func (f *fleet) count(kind core.EventKind) int {
+	n := 0
+	for _, e := range f.events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) owner(id core.TargetID) *owner {
+	for _, n := range f.names {
+		if o := f.vms[n].owners[id]; o != nil {
+			return o
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/traffic/limits.go
@@ -0,0 +1,71 @@
+package traffic
+
+import "time"
+
+// Times and bounds of a shard. The design page gives the reasons where none is stated here.
+const (
+	// cancelGrace is the time after which a withdrawn attempt gives its slot back unconfirmed.
+	cancelGrace = 2 * time.Second
+	// backupWait bounds the wait for the backup's confirmation.
+	backupWait = 100 * time.Millisecond
+	// loadInterval is the shortest time between two load reports of a target.
+	loadInterval = 250 * time.Millisecond
+	// parkTime bounds the wait for a holder. It covers the 2 s of silence after which a failed
+	// holder's targets are taken over.
+	parkTime = 2500 * time.Millisecond
+	// gateWait bounds the wait of queued requests while nothing may be sent to the target.
+	gateWait = time.Second
+	// newerGenerationWait bounds the wait for a newer generation that is known to exist.
+	newerGenerationWait = 2 * time.Second
+	// queryWait is the time in which peers can answer a FlowQuery.
+	queryWait = 50 * time.Millisecond
+	// queriesPerSecond bounds the FlowQuery broadcasts of a shard.
+	queriesPerSecond = 50
+	// handoverResend is the time between two end messages.
+	handoverResend = 200 * time.Millisecond
+	// handoverWait is the time without confirmation after which waiting requests are refused.
+	handoverWait = time.Second
+	// refusalMemory is how long the refusal of an idempotent request is kept: the refusal and a
+	// repeated packet that crosses it may each spend PacketLife in the network.
+	refusalMemory = 4 * time.Second
+	// oldFeedTime is how long a former holder relays notifications until the new one has
+	// registered the feeds again.
+	oldFeedTime = 10 * time.Second
+	// feedIdle is the time without packets after which a flow with a live feed has ended. Quiet
+	// feeds outlive FlowIdle because the caller sends nothing while it listens.
+	feedIdle = time.Hour
+	// renewalTimeout is the time after which an unanswered registration is sent again.
+	renewalTimeout = 2 * time.Second
+	// shedPause is the pause before a registration that was shed is sent again.
+	shedPause = 500 * time.Millisecond
+	// minAttemptTime keeps short pauses of a target from causing retries.
+	minAttemptTime = 500 * time.Millisecond
+
+	minComeBack = 100 * time.Millisecond
+	maxComeBack = 10 * time.Second
+	// unreachableComeBack covers the time in which a failed holder is replaced.
+	unreachableComeBack = 2 * time.Second
+
+	maxRetries = 2
+	// retryShare is the part of a request that each first attempt adds to the retry budget.
+	retryShare = 0.1
+	// retryReserve lets a shard retry before it has sent many requests.
+	retryReserve = 3
+	maxRetryFund = 100
+
+	maxHops         = 40
+	maxParked       = 2048
+	maxMarks        = 1 << 16
+	maxAnswerBytes  = 4 << 20
+	maxQueries      = 1024
+	maxChunkBytes   = 48 << 10
+	movesPerTick    = 16
+	sweepPerTick    = 4096
+	coldAfterErrors = 3
+
+	// loadSlack is the part by which a target's flows may exceed its share before new flows are
+	// redirected; it leaves room below the bound of 1.10 for loads that are a heartbeat old.
+	loadSlack = 1.04
+	// smallLoad avoids redirects while a target has only a few flows.
+	smallLoad = 2
+)
--- /dev/null
+++ b/core/traffic/once_test.go
@@ -0,0 +1,276 @@
+package traffic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a posting that runs twice and against untrue "not run" refusals.
+func TestPosting(t *testing.T) {
+	Convey("Given a posting in flight at a warm target", t, func() {
+		f := newFleet(t, 1, 1)
+		f.warm()
+		f.request("a", posting(1, 1))
+		s := f.last()
+		Convey("repetitions are absorbed, and answered again once it is done", func() {
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldHaveLength, 1)
+			f.verdict(s, core.AnswerOK, "paid")
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldHaveLength, 1)
+			So(f.answers, ShouldHaveLength, 2)
+			So(string(f.answers[1].Payload), ShouldEqual, "paid")
+		})
+		Convey("it is not sent again when the target is silent, and its outcome is unknown", func() {
+			f.tick(5 * time.Second)
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldHaveLength, 1)
+			So(f.refusals, ShouldHaveLength, 2)
+			So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+			So(f.refusals[1].Run, ShouldEqual, core.RunUnknown)
+			Convey("a late answer is kept for repetitions", func() {
+				f.verdict(s, core.AnswerOK, "paid")
+				So(f.answers, ShouldBeEmpty)
+				f.request("a", posting(1, 1))
+				So(f.answers, ShouldHaveLength, 1)
+			})
+		})
+		Convey("it is sent again after a shed, and not run when the budget is used up", func() {
+			f.verdict(s, core.AnswerShed, "")
+			So(f.requests(), ShouldHaveLength, 2)
+			f.vms["a"].retryFund = 0
+			f.verdict(f.last(), core.AnswerShed, "")
+			So(f.refusals[0].Reason, ShouldEqual, core.ReasonShed)
+			So(f.refusals[0].Run, ShouldEqual, core.NotRun)
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldHaveLength, 2)
+			So(f.refusals, ShouldHaveLength, 2)
+		})
+		Convey("the slot is kept until the target confirms the withdrawal or the grace has passed", func() {
+			r := posting(1, 1)
+			r.Method = core.MethodCancel
+			f.request("a", r)
+			So(f.cancels(), ShouldEqual, 1)
+			So(f.owner(1).inFlight, ShouldEqual, 1)
+			f.tick(cancelGrace)
+			So(f.owner(1).inFlight, ShouldEqual, 0)
+			So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+		})
+		Convey("a confirmed withdrawal is not run", func() {
+			r := posting(1, 1)
+			r.Method = core.MethodCancel
+			f.request("a", r)
+			f.verdict(s, core.AnswerCancelled, "")
+			So(f.owner(1).inFlight, ShouldEqual, 0)
+			So(f.refusals[0].Run, ShouldEqual, core.NotRun)
+		})
+		Convey("its record ends with the life of its id, and stored answers are bounded", func() {
+			f.verdict(s, core.AnswerOK, "paid")
+			big := string(make([]byte, maxAnswerBytes/8))
+			for i := range 10 {
+				f.request("a", posting(1, i+2))
+				f.verdict(f.last(), core.AnswerOK, big)
+			}
+			So(f.vms["a"].answerBytes, ShouldBeLessThanOrEqualTo, maxAnswerBytes)
+			f.request("a", posting(1, 1))
+			So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+			f.tick(core.RequestLifetime)
+			So(f.owner(1).records.m, ShouldBeEmpty)
+			So(f.vms["a"].answerBytes, ShouldEqual, 0)
+		})
+	})
+	Convey("Given a VM without authority, a posting is not sent and nothing is promised", t, func() {
+		f := newFleet(t, 1, 1)
+		f.warm()
+		f.authority = 0
+		f.publish()
+		f.request("a", posting(1, 1))
+		f.request("a", read(1, 2))
+		So(f.requests(), ShouldHaveLength, 1)
+		So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+	})
+	Convey("Given a queued posting, authority is checked when it is sent", t, func() {
+		f := newFleet(t, 1, 1)
+		f.warm()
+		f.owner(1).ramp.limit = 1
+		f.authority = 200 * time.Millisecond
+		f.publish()
+		f.request("a", read(1, 1))
+		f.request("a", posting(2, 1))
+		f.tick(250 * time.Millisecond)
+		f.verdict(f.last(), core.AnswerOK, "")
+		So(f.requests(), ShouldHaveLength, 1)
+		So(f.refusals[0].Reason, ShouldEqual, core.ReasonNoAuthority)
+	})
+}
+
+// Guards against a posting whose start is known to nobody else when its owner dies.
+func TestBackup(t *testing.T) {
+	Convey("Given a target with a backup", t, func() {
+		f := newFleet(t, 2, 1)
+		f.warm()
+		f.views[1].Backup = "b"
+		f.publish()
+		f.hold = func(_ core.VMName, m core.Message) bool {
+			_, ok := m.(*core.RecordAck)
+			return ok
+		}
+		f.request("a", posting(1, 1))
+		Convey("a posting is sent after the confirmation", func() {
+			So(f.requests(), ShouldBeEmpty)
+			f.in("a", core.PeerMessage{From: "b", Msg: f.held[0].Msg})
+			So(f.requests(), ShouldHaveLength, 1)
+			Convey("and after a takeover by the backup its outcome is unknown", func() {
+				f.cut["a"] = true
+				f.in("b", core.LinkEvent{Peer: "a", State: core.LinkRefused})
+				f.in("b", core.TakeOver{Target: 1, Number: 2, FormerDiedBy: f.now, BackupInSync: true})
+				f.views[1].Holder = "b"
+				f.views[1].Backup = ""
+				f.publishTo("b")
+				f.tick(refusalMemory)
+				f.request("b", posting(1, 1))
+				So(f.requests(), ShouldHaveLength, 1)
+				So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+				f.request("b", posting(1, 2))
+				So(f.requests(), ShouldHaveLength, 2)
+			})
+		})
+		Convey("a posting without confirmation is refused as not run and never sent", func() {
+			f.tick(150 * time.Millisecond)
+			So(f.refusals[0].Reason, ShouldEqual, core.ReasonBackup)
+			So(f.refusals[0].Run, ShouldEqual, core.NotRun)
+			f.in("a", core.PeerMessage{From: "b", Msg: f.held[0].Msg})
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldBeEmpty)
+		})
+		Convey("a new backup has to confirm again before a queued posting is sent", func() {
+			f.hold = nil
+			f.owner(1).ramp.limit = 0
+			f.in("a", core.PeerMessage{From: "b", Msg: f.held[0].Msg})
+			f.views[1].Backup = "c"
+			f.publish()
+			f.owner(1).ramp.limit = 4
+			f.tick(50 * time.Millisecond)
+			So(f.requests(), ShouldBeEmpty)
+			f.tick(200 * time.Millisecond)
+			So(f.refusals[0].Reason, ShouldEqual, core.ReasonBackup)
+		})
+	})
+	Convey("Given a takeover without handover, postings are unknown for the quarantine", t, func() {
+		f := newFleet(t, 1, 1)
+		f.in("a", core.Drop{Target: 1, Holder: "x", Number: 2})
+		f.in("a", core.TakeOver{Target: 1, Number: 3, FormerDiedBy: f.now})
+		f.warm()
+		f.request("a", posting(1, 1))
+		So(f.requests(), ShouldBeEmpty)
+		So(f.refusals[0].Reason, ShouldEqual, core.ReasonQuarantine)
+		So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+		f.tick(core.RequestLifetime)
+		f.request("a", posting(1, 2))
+		So(f.requests(), ShouldHaveLength, 1)
+	})
+	Convey("Given changed candidates whose former holder cannot be asked, postings are unknown", t, func() {
+		f := newFleet(t, 2, 2)
+		f.warm()
+		i := 0
+		for f.vms["a"].candidates(testFlow(i))[0] != 2 {
+			i++
+		}
+		f.replaceSet(1)
+		f.publish()
+		f.cut["b"] = true
+		f.in("a", core.LinkEvent{Peer: "b", State: core.LinkDown})
+		f.request("a", posting(i, 1))
+		f.tick(parkTime)
+		So(f.requests(), ShouldBeEmpty)
+		So(f.refusals[0].Reason, ShouldEqual, core.ReasonQuarantine)
+		So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+		f.request("a", read(i, 2))
+		So(f.requests(), ShouldHaveLength, 1)
+	})
+	Convey("Given changed candidates whose former holder has no record, a posting is sent", t, func() {
+		f := newFleet(t, 2, 2)
+		f.warm()
+		i := 0
+		for f.vms["a"].candidates(testFlow(i))[0] != 2 {
+			i++
+		}
+		f.replaceSet(1)
+		f.views[2].Leaving = true
+		f.publish()
+		f.request("a", posting(i, 1))
+		So(f.last().Target, ShouldEqual, 1)
+	})
+}
+
+// Guards against retries without bound, and duplicates that take several slots.
+func TestIdempotent(t *testing.T) {
+	Convey("Given a read in flight", t, func() {
+		f := newFleet(t, 1, 1)
+		f.warm()
+		f.request("a", read(1, 1))
+		Convey("repetitions join it", func() {
+			f.request("a", read(1, 1))
+			So(f.requests(), ShouldHaveLength, 1)
+			So(f.count(core.EventDuplicateAbsorbed), ShouldEqual, 1)
+		})
+		Convey("it is sent at most three times", func() {
+			r := read(2, 1)
+			r.Deadline = 10 * time.Second
+			f.vms["a"].retryFund = 10
+			f.request("a", r)
+			f.tick(7500 * time.Millisecond)
+			sent := 0
+			for _, s := range f.requests() {
+				if s.Request.Flow == testFlow(2) {
+					sent++
+				}
+			}
+			So(sent, ShouldEqual, 1+maxRetries)
+			So(f.cancels(), ShouldBeGreaterThanOrEqualTo, maxRetries)
+		})
+		Convey("the answer to an earlier attempt counts, and the later one is withdrawn", func() {
+			first := f.last()
+			f.tick(minAttemptTime)
+			So(f.requests(), ShouldHaveLength, 2)
+			f.verdict(first, core.AnswerOK, "x")
+			So(f.answers, ShouldHaveLength, 1)
+			So(f.cancels(), ShouldEqual, 2)
+			f.verdict(f.requests()[1], core.AnswerCancelled, "")
+			So(f.owner(1).inFlight, ShouldEqual, 0)
+		})
+	})
+	Convey("Given many sheds, retries stay within the budget", t, func() {
+		f := newFleet(t, 1, 1)
+		for i := range 100 {
+			f.request("a", read(i, 1))
+			for n := -1; n != len(f.requests()); {
+				n = len(f.requests())
+				f.verdict(f.last(), core.AnswerShed, "")
+			}
+		}
+		So(len(f.requests()), ShouldBeLessThanOrEqualTo, 100+retryReserve+10)
+	})
+}
+
+// Guards against actions that differ between two runs with the same inputs.
+func TestDeterminism(t *testing.T) {
+	Convey("Given the same inputs, two fleets act equally", t, func() {
+		run := func() string {
+			f := newFleet(t, 3, 6)
+			for i := range 200 {
+				f.request(f.names[i%3], posting(i%50, i))
+				if i%3 == 0 {
+					f.verdict(f.last(), core.AnswerOK, "")
+				}
+				f.tick(50 * time.Millisecond)
+			}
+			return fmt.Sprint(f.sent, f.answers, f.refusals, f.events, f.loads)
+		}
+		So(run(), ShouldEqual, run())
+	})
+}
--- /dev/null
+++ b/core/traffic/owner.go
@@ -0,0 +1,288 @@
+package traffic
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// owner is the state of a target that this shard holds.
+type owner struct {
+	id       core.TargetID
+	number   core.HoldingNumber
+	contract core.Contract
+	view     *core.TargetView
+
+	flows flowTable
+	// redirects is the number of flows in the table that are placed on other targets.
+	redirects int
+	// moved holds flows that left this target, and unsure flows that came from another one, each
+	// until no repetition of a request from before the move can arrive.
+	moved  untilTable[core.FlowKey]
+	unsure untilTable[core.FlowKey]
+
+	ramp     ramp
+	inFlight int
+	// uploads is the part of inFlight that are uploads.
+	uploads int
+	// flights lists the attempts that take slots in the order of sending.
+	flights []*attempt
+	// active has all requests that have not ended; live has the same in order of arrival.
+	active   map[reqKey]*request
+	live     []*request
+	queue    queue
+	records  records
+	feeds    feedSet
+	remote   remoteRequests
+	sequence uint64
+
+	// formerUntil is the time until which a former holder may still act.
+	formerUntil time.Duration
+	// quarantineUntil is the time until which a request may arrive that a former holder started.
+	quarantineUntil time.Duration
+	// idempotentFrom is the time from which "not run" can be said about idempotent requests.
+	idempotentFrom time.Duration
+	// rebuildUntil is the time until which flows may appear that the lost former holder had.
+	rebuildUntil time.Duration
+
+	handover *handoverOut
+	// receivedFrom is the former holder; to and toNumber are the new one after a handover.
+	receivedFrom core.VMName
+	to           core.VMName
+	toNumber     core.HoldingNumber
+	reported     core.TargetLoad
+	// reportedAt is the time of the last load report; negative before the first.
+	reportedAt time.Duration
+}
+
+// newOwner returns the state of a target that starts cold.
+func (s *Shard) newOwner(id core.TargetID, number core.HoldingNumber) *owner {
+	o := &owner{
+		id:         id,
+		number:     number,
+		flows:      newFlowTable(s.opts.Seed),
+		active:     map[reqKey]*request{},
+		records:    newRecords(),
+		feeds:      newFeedSet(),
+		remote:     newRemoteRequests(),
+		reportedAt: -loadInterval,
+	}
+	o.moved.init()
+	o.unsure.init()
+	s.applyView(o)
+	o.ramp.setCold(s.now)
+	return o
+}
+
+// applyView takes over what a new snapshot says about the target.
+func (s *Shard) applyView(o *owner) {
+	o.view = s.view(o.id)
+	if o.view == nil {
+		return
+	}
+	o.number = max(o.number, s.ownNumber(o))
+	if sv := s.snap.Services[o.view.Target.Service]; sv != nil {
+		o.contract = sv.Service.Contract
+	}
+	o.ramp.configure(o.contract, o.view.Target.Slots)
+}
+
+func (s *Shard) ownNumber(o *owner) core.HoldingNumber {
+	if o.view.Holder == s.opts.Self {
+		return o.view.Number
+	}
+	return 0
+}
+
+func (s *Shard) install(o *owner) {
+	if old := s.owners[o.id]; old != nil {
+		s.uninstall(old)
+	}
+	s.owners[o.id] = o
+	s.ordered = append(s.ordered, o)
+	slices.SortFunc(s.ordered, func(a, b *owner) int { return int(int64(a.id) - int64(b.id)) })
+	s.drained = false
+	s.emit(core.HolderChanged{Target: o.id, Holder: s.opts.Self, Number: o.number})
+}
+
+// uninstall ends the holding of a target. Attempts in flight are finished by the former owner.
+func (s *Shard) uninstall(o *owner) {
+	delete(s.owners, o.id)
+	s.ordered = compact(s.ordered, func(x *owner) bool { return x != o })
+	s.retireFeeds(o)
+	s.answerBytes -= o.records.bytes
+	o.records.bytes = 0
+	if o.inFlight > 0 || len(o.live) > 0 {
+		s.former = append(s.former, o)
+	}
+}
+
+// onTakeOver starts to hold a target whose former holder handed nothing over.
+func (s *Shard) onTakeOver(t core.TakeOver) {
+	if old := s.owners[t.Target]; old != nil {
+		old.number = max(old.number, t.Number)
+		s.emit(core.HolderChanged{Target: old.id, Holder: s.opts.Self, Number: old.number})
+		return
+	}
+	o := s.newOwner(t.Target, t.Number)
+	o.formerUntil = t.FormerUntil
+	if !t.First {
+		last := max(t.FormerUntil, t.FormerDiedBy)
+		o.quarantineUntil = last + core.RequestLifetime
+		if t.BackupInSync {
+			// Refusals of the former holder are not in the backup's copy: repetitions that crossed
+			// them arrive for as long as refusals are remembered.
+			o.quarantineUntil = last + refusalMemory
+		}
+		o.idempotentFrom = last + core.RequestLifetime
+		o.rebuildUntil = s.now + core.FlowIdle
+		s.adoptBackup(o)
+		s.emit(core.Event{Kind: core.EventTakeOver, VM: s.opts.Self, Target: t.Target, Value: uint64(t.Number)})
+	}
+	delete(s.backups, t.Target)
+	s.install(o)
+	s.retryParked()
+}
+
+// onDrop ends the holding because another VM has a higher number.
+func (s *Shard) onDrop(d core.Drop) {
+	o := s.owners[d.Target]
+	if o == nil || d.Number <= o.number {
+		return
+	}
+	s.uninstall(o)
+	// The new holder did not get this VM's records, so nothing can be said about what waits here.
+	o.quarantineUntil = s.now + core.RequestLifetime
+	for _, r := range slices.Clone(o.live) {
+		if r.state != reqSent {
+			s.refuseRequest(o, r, core.ReasonOwnerUnreachable)
+		}
+	}
+	s.emit(core.HolderChanged{Target: o.id, Holder: d.Holder, Number: d.Number})
+}
+
+// evicted reports whether the target gets no packets any more, not even of its flows.
+func (o *owner) evicted(now time.Duration) bool {
+	v := o.view
+	return v == nil || v.ZoneOut || v.Removed && now >= v.RemovedAt+o.drainTime()
+}
+
+func (o *owner) drainTime() time.Duration {
+	if o.contract.Drain > 0 {
+		return o.contract.Drain
+	}
+	return time.Minute
+}
+
+// uncertain reports whether a handover is unconfirmed, so that the receiver may hold the target.
+func (o *owner) uncertain() bool { return o.handover != nil }
+
+// tickOwner advances what depends on time at one target.
+func (s *Shard) tickOwner(o *owner) {
+	s.tickRequests(o)
+	s.tickHandover(o)
+	o.records.expire(s, s.now)
+	o.moved.expire(s.now)
+	o.unsure.expire(s.now)
+	s.expireRemote(o)
+	s.tickFeeds(o)
+	s.sweepFlows(o)
+	if o.view != nil {
+		s.reportLoad(o)
+	} else if len(o.feeds.order) == 0 && len(o.live) == 0 {
+		s.forget(o)
+	}
+}
+
+// forget ends the holding of a target that control does not know any more.
+func (s *Shard) forget(o *owner) {
+	s.uninstall(o)
+	s.emit(core.HolderChanged{Target: o.id, Number: o.number})
+}
+
+// sweepFlows removes some idle flows. A redirect is needed for as long as its flow lives, and the
+// flow's packets need not pass here: the target's holder is asked before it is removed.
+func (s *Shard) sweepFlows(o *owner) {
+	o.flows.sweep(sweepPerTick, func(e *flowEntry) {
+		if e.idle(s.now) <= core.FlowIdle {
+			return
+		}
+		k := e.key
+		if e.target == o.id {
+			if o.feeds.m[k] == nil {
+				o.flows.remove(&k)
+			}
+			return
+		}
+		holder := s.holderOf(e.target)
+		if e.seen&probedFlag == 0 && holder != "" {
+			e.seen = toSeen(s.now-core.FlowIdle+time.Second*10) | probedFlag
+			s.send(holder, &core.FlowQuery{Flow: k})
+			return
+		}
+		o.redirects--
+		o.flows.remove(&k)
+	})
+}
+
+// touch notes a packet of a flow.
+func (e *flowEntry) touch(now time.Duration) { e.seen = toSeen(now) }
+
+// setFlow places a flow, on this target or by a redirect on another one.
+func (o *owner) setFlow(k core.FlowKey, target core.TargetID, now time.Duration) {
+	if e := o.flows.get(&k); e != nil && e.target != o.id {
+		o.redirects--
+	}
+	o.flows.put(k, target, now)
+	if target != o.id {
+		o.redirects++
+	}
+}
+
+// placed returns the number of flows on this target.
+func (o *owner) placed() int { return o.flows.count - o.redirects }
+
+// reportLoad tells control a changed load, at most every loadInterval.
+func (s *Shard) reportLoad(o *owner) {
+	load := core.TargetLoad{
+		Flows:    uint32(o.placed()),
+		InFlight: uint16(o.inFlight),
+		Limit:    uint16(o.ramp.limit),
+		Queued:   uint16(o.queue.len()),
+		Cold:     o.ramp.cold,
+		Leaving:  o.ramp.draining,
+	}
+	if load == o.reported || s.now-o.reportedAt < loadInterval {
+		return
+	}
+	o.reported = load
+	o.reportedAt = s.now
+	s.emit(core.LoadChanged{Target: o.id, Load: load})
+}
+
+// untilTable keeps keys until given times, which never decrease.
+type untilTable[K comparable] struct {
+	m     map[K]time.Duration
+	order fifo[K]
+}
+
+func (t *untilTable[K]) init() { t.m = map[K]time.Duration{} }
+
+func (t *untilTable[K]) put(k K, until time.Duration) {
+	if _, ok := t.m[k]; !ok {
+		t.order.push(k)
+	}
+	t.m[k] = until
+}
+
+func (t *untilTable[K]) has(k K, now time.Duration) bool {
+	until, ok := t.m[k]
+	return ok && now < until
+}
+
+func (t *untilTable[K]) expire(now time.Duration) {
+	for n := t.order.len(); n > 0 && t.m[*t.order.first()] <= now; n-- {
+		delete(t.m, t.order.pop())
+	}
+}
--- /dev/null
+++ b/core/traffic/query.go
@@ -0,0 +1,169 @@
+package traffic
+
+import (
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// queries are the FlowQuery broadcasts in progress.
+type queries struct {
+	waiting []query
+	// budget is the number of broadcasts that the rate limit allows now.
+	budget float64
+	at     time.Duration
+}
+
+// query is a request that waits for what peers know about its flow.
+type query struct {
+	f     *core.ForwardRequest
+	since time.Duration
+}
+
+func newQueries() queries { return queries{budget: queriesPerSecond} }
+
+// allow takes one broadcast from the rate limit.
+func (q *queries) allow(now time.Duration) bool {
+	q.budget += (now - q.at).Seconds() * queriesPerSecond
+	q.budget = min(q.budget, queriesPerSecond)
+	q.at = now
+	if q.budget < 1 {
+		return false
+	}
+	q.budget--
+	return true
+}
+
+// mustAsk reports whether flows may exist that the target's lost former holder knew.
+func (s *Shard) mustAsk(o *owner) bool { return s.now < o.rebuildUntil }
+
+// askPeers asks all peers about a flow and keeps the request for queryWait. It reports false when
+// the flow was asked for already or the rate limit is reached.
+func (s *Shard) askPeers(f *core.ForwardRequest) bool {
+	if f.Queried {
+		return false
+	}
+	for i := range s.queries.waiting {
+		if keyOf(&s.queries.waiting[i].f.Request) == keyOf(&f.Request) {
+			s.event(core.EventDuplicateAbsorbed, f.Target)
+			return true
+		}
+	}
+	if len(s.queries.waiting) >= maxQueries || !s.askedFor(f.Request.Flow) && !s.broadcast(f.Request.Flow) {
+		return false
+	}
+	f.Queried = true
+	s.queries.waiting = append(s.queries.waiting, query{f, s.now})
+	return true
+}
+
+// askedFor reports whether an earlier request of the flow waits for peers.
+func (s *Shard) askedFor(flow core.FlowKey) bool {
+	for i := range s.queries.waiting {
+		if s.queries.waiting[i].f.Request.Flow == flow {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Shard) broadcast(flow core.FlowKey) bool {
+	if len(s.snap.Peers) == 0 || !s.queries.allow(s.now) {
+		return false
+	}
+	for _, p := range s.snap.Peers {
+		if s.reachable(p) {
+			s.send(p, &core.FlowQuery{Flow: flow})
+		}
+	}
+	// The notes of other shards of this VM count as well.
+	s.send(s.opts.Self, &core.FlowQuery{Flow: flow})
+	return true
+}
+
+// onQuery tells a peer where a flow is. Only shards that know the flow answer.
+func (s *Shard) onQuery(from core.VMName, m *core.FlowQuery) {
+	target := s.whereIs(m.Flow)
+	if target != 0 {
+		s.send(from, &core.FlowReply{Flow: m.Flow, Target: target})
+	}
+}
+
+// whereIs returns the target of a flow by its placement, else by the ingress note.
+func (s *Shard) whereIs(flow core.FlowKey) core.TargetID {
+	for _, o := range s.ordered {
+		if e := o.flows.get(&flow); e != nil && !o.evicted(s.now) {
+			return e.target
+		}
+	}
+	if e := s.notes.get(&flow); e != nil && e.seen&guessFlag == 0 && e.idle(s.now) <= core.FlowIdle {
+		return e.target
+	}
+	return 0
+}
+
+// onReply sends the waiting requests of a flow to its target and confirms redirects.
+func (s *Shard) onReply(m *core.FlowReply) {
+	if m.Target == 0 {
+		return
+	}
+	for _, o := range s.ordered {
+		if e := o.flows.get(&m.Flow); e != nil && e.target == m.Target && e.target != o.id {
+			e.touch(s.now)
+		}
+	}
+	waiting := s.queries.waiting
+	s.queries.waiting = nil
+	for _, q := range waiting {
+		if q.f.Request.Flow != m.Flow {
+			s.queries.waiting = append(s.queries.waiting, q)
+			continue
+		}
+		s.resume(q, m.Target)
+	}
+}
+
+// resume continues with a request whose flow was found on a target; 0 means that no peer knows it.
+func (s *Shard) resume(q query, target core.TargetID) {
+	f := q.f
+	f.Age += s.now - q.since
+	o := s.owners[f.Target]
+	if o == nil {
+		s.dispatch(f)
+		return
+	}
+	if o.flows.get(&f.Request.Flow) != nil {
+		s.onOwned(o, f)
+		return
+	}
+	switch {
+	case target != 0 && target == o.id:
+		f.Known = true
+		o.setFlow(f.Request.Flow, o.id, s.now)
+		s.onOwned(o, f)
+	case target != 0 && s.view(target) != nil:
+		o.setFlow(f.Request.Flow, target, s.now)
+		// The reply does not say whether the flow's records are complete there.
+		if s.now < o.quarantineUntil {
+			f.Unreached = true
+		}
+		s.redirect(o, target, f)
+	default:
+		if e := s.placeOrPass(o, f); e != nil {
+			s.onOwned(o, f)
+		}
+	}
+}
+
+// expireQueries continues with the requests that no peer has answered in time.
+func (s *Shard) expireQueries() {
+	waiting := s.queries.waiting
+	s.queries.waiting = nil
+	for _, q := range waiting {
+		if s.now-q.since < queryWait {
+			s.queries.waiting = append(s.queries.waiting, q)
+			continue
+		}
+		s.resume(q, 0)
+	}
+}
--- /dev/null
+++ b/core/traffic/request.go
@@ -0,0 +1,264 @@
+package traffic
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// reqKey identifies a request.
+type reqKey struct {
+	flow core.FlowKey
+	id   core.RequestID
+}
+
+func keyOf(r *core.Request) reqKey { return reqKey{r.Flow, r.ID} }
+
+type reqState uint8
+
+const (
+	// reqConfirming waits for the backup's confirmation of its record.
+	reqConfirming reqState = iota
+	reqQueued
+	reqSent
+	reqEnded
+)
+
+// request is a request that has not ended.
+type request struct {
+	key      reqKey
+	req      core.Request
+	state    reqState
+	ingress  core.VMName
+	arrived  time.Duration
+	deadline time.Duration
+	// cleared is true when no other VM can have a record of the request.
+	cleared bool
+	// renewal is true for the registration of a feed by this VM itself.
+	renewal bool
+	// cancelled is true when the caller withdrew the request.
+	cancelled bool
+	retries   int
+	// ran is true when an attempt may have run: it was sent and neither shed nor withdrawn.
+	ran bool
+	// unresolved counts the attempts without a verdict.
+	unresolved int
+	// requeued is true when a former holder has to hand the request to the new one.
+	requeued bool
+	current  *attempt
+	// backup is the VM that was asked to confirm the record under number seq.
+	backup      core.VMName
+	seq         uint64
+	confirmed   bool
+	confirmFrom time.Duration
+}
+
+// onOwned handles a request for a target that this shard holds.
+func (s *Shard) onOwned(o *owner, f *core.ForwardRequest) {
+	r := &f.Request
+	if r.Method == core.MethodCancel && s.cancelRequest(o, keyOf(r)) {
+		return
+	}
+	if s.absorb(o, f) {
+		return
+	}
+	if o.handover != nil {
+		s.holdBack(o, f)
+		return
+	}
+	e := o.flows.get(&r.Flow)
+	if e == nil {
+		e = s.locate(o, f)
+	}
+	if e == nil {
+		return
+	}
+	e.touch(s.now)
+	if f.Known && e.target != o.id && slices.Contains(f.Asked, e.target) {
+		// The flow comes back from the target that it was once placed on.
+		o.setFlow(r.Flow, o.id, s.now)
+	}
+	if e.target != o.id {
+		s.redirect(o, e.target, f)
+		return
+	}
+	if f.Moved {
+		o.unsure.put(r.Flow, s.now+core.RequestLifetime)
+	}
+	if o.evicted(s.now) && !f.Renewal {
+		s.move(o, f)
+		return
+	}
+	if r.Method == core.MethodCancel {
+		return
+	}
+	s.admit(o, f)
+}
+
+// absorb handles a repetition of a request that is known here. It reports whether f is one.
+func (s *Shard) absorb(o *owner, f *core.ForwardRequest) bool {
+	r := &f.Request
+	if r.Method == core.MethodCancel {
+		return false
+	}
+	key := keyOf(r)
+	if o.active[key] != nil || o.remote.has(key) {
+		s.event(core.EventDuplicateAbsorbed, o.id)
+		return true
+	}
+	if r.Idempotent {
+		m, ok := s.marks.refusalOf(key, s.now)
+		if ok {
+			s.event(core.EventDuplicateAbsorbed, o.id)
+			s.repeatRefusal(f, m.reason, core.NotRun, m.comeBackAt)
+		}
+		return ok
+	}
+	rec := o.records.get(key)
+	if rec == nil {
+		return false
+	}
+	s.event(core.EventDuplicateAbsorbed, o.id)
+	s.answerFromRecord(f, rec)
+	return true
+}
+
+func (s *Shard) repeatRefusal(f *core.ForwardRequest, reason core.RefusalReason, run core.RunStatus, comeBackAt time.Duration) {
+	s.emitRefusal(&request{req: f.Request}, reason, run, max(comeBackAt-s.now, minComeBack))
+}
+
+// newRequest returns the state of a request that has reached its owner.
+func (s *Shard) newRequest(o *owner, f *core.ForwardRequest) *request {
+	sure := f.Cleared || f.Known && !o.unsure.has(f.Request.Flow, s.now)
+	return &request{
+		key:      keyOf(&f.Request),
+		req:      f.Request,
+		ingress:  f.Ingress,
+		arrived:  s.now,
+		deadline: s.now + s.remaining(f),
+		cleared:  sure && !f.Unreached,
+		renewal:  f.Renewal,
+	}
+}
+
+// admit decides whether a request of a flow on this target is queued or refused.
+func (s *Shard) admit(o *owner, f *core.ForwardRequest) {
+	if f.Renewal {
+		s.adoptFeed(o, &f.Request)
+		return
+	}
+	r := s.newRequest(o, f)
+	if reason := s.objection(o, r); reason != core.ReasonNone {
+		s.refuseRequest(o, r, reason)
+		return
+	}
+	if r.req.Method == core.MethodUnsubscribe {
+		s.endFeed(o, r.req.Flow)
+	}
+	o.active[r.key] = r
+	o.live = append(o.live, r)
+	if !r.req.Idempotent {
+		s.setRecord(o, r.key, record{state: core.RecordQueued})
+	}
+	s.prepare(o, r)
+	s.pump(o)
+}
+
+// objection returns why a new request cannot wait for this target, or ReasonNone.
+func (s *Shard) objection(o *owner, r *request) core.RefusalReason {
+	if !r.req.Idempotent {
+		if reason := s.recordObjection(o, r); reason != core.ReasonNone {
+			return reason
+		}
+	}
+	if r.deadline <= s.now {
+		return core.ReasonDeadline
+	}
+	return s.queueObjection(o, r)
+}
+
+// recordObjection returns why a non-idempotent request must not start, or ReasonNone.
+func (s *Shard) recordObjection(o *owner, r *request) core.RefusalReason {
+	switch {
+	case !r.cleared, s.now < o.quarantineUntil:
+		return core.ReasonQuarantine
+	case !s.authority(), s.now < o.formerUntil:
+		return core.ReasonNoAuthority
+	case s.newerGenerationOverdue():
+		return core.ReasonNoAuthority
+	case o.records.full():
+		return core.ReasonOverload
+	}
+	return core.ReasonNone
+}
+
+// prepare gets the backup's confirmation for a non-idempotent request and queues the request.
+func (s *Shard) prepare(o *owner, r *request) {
+	if !r.req.Idempotent && s.askBackup(o, r) {
+		r.state = reqConfirming
+		return
+	}
+	r.state = reqQueued
+	s.enqueue(o, r)
+}
+
+// finish removes a request from everything that waits.
+func (s *Shard) finish(o *owner, r *request) {
+	if r.state == reqQueued {
+		o.queue.remove(r)
+	}
+	r.state = reqEnded
+	if o.active[r.key] != r {
+		return
+	}
+	delete(o.active, r.key)
+	o.live = slices.DeleteFunc(o.live, func(x *request) bool { return x == r })
+	if r.req.Idempotent && (r.ran || r.unresolved > 0) {
+		s.marks.markRan(r.key, s.now)
+	}
+}
+
+// cancelRequest withdraws the request or the feed with the given id. It reports whether it is here.
+func (s *Shard) cancelRequest(o *owner, key reqKey) bool {
+	if fd := o.feeds.m[key.flow]; fd != nil && fd.req.ID == key.id {
+		s.endFeed(o, key.flow)
+		if o.active[key] == nil {
+			return true
+		}
+	}
+	r := o.active[key]
+	if r == nil {
+		return false
+	}
+	if r.state != reqSent {
+		s.refuseRequest(o, r, core.ReasonCancelled)
+		return true
+	}
+	if !r.cancelled {
+		r.cancelled = true
+		s.withdraw(r.current)
+	}
+	return true
+}
+
+// tickRequests expires requests that wait. Attempts in flight are expired by expireAttempts.
+func (s *Shard) tickRequests(o *owner) {
+	if len(o.live) == 0 {
+		return
+	}
+	evicted := o.handover == nil && s.owners[o.id] == o && o.evicted(s.now)
+	for _, r := range slices.Clone(o.live) {
+		switch {
+		case r.state == reqSent || r.state == reqEnded:
+		case s.now >= r.deadline:
+			s.refuseRequest(o, r, core.ReasonDeadline)
+		case evicted:
+			s.moveRequest(o, r)
+		case r.state == reqConfirming && s.now-r.confirmFrom >= backupWait:
+			s.refuseRequest(o, r, core.ReasonBackup)
+		case r.state == reqQueued && o.handover == nil:
+			s.reconsider(o, r)
+		}
+	}
+}
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -6,6 +6,7 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -21,19 +22,251 @@
 	Seed uint64
 }
 
-// Shard is the traffic state of one traffic thread of an entry VM.
+// Shard is the traffic state of one traffic thread of an entry VM. It is not safe for concurrent
+// use.
 type Shard struct {
 	opts Options
 	snap *core.Snapshot
+	sets map[core.ServiceID]*serviceSets
+	// inherited are former target sets from handovers, which may be older than this VM.
+	inherited map[core.ServiceID][]core.FormerSet
+
+	now     time.Duration
+	out     []core.Action
+	running bool
+	// lapsed is true from a clock jump until the next snapshot.
+	lapsed  bool
+	stopped bool
+	drained bool
+
+	notes    flowTable
+	owners   map[core.TargetID]*owner
+	ordered  []*owner
+	former   []*owner
+	parked   []parkedRequest
+	down     map[core.VMName]bool
+	attempts map[core.AttemptToken]*attempt
+	counter  uint32
+	// retryFund is the number of retries that the retry budget allows now.
+	retryFund float64
+	feeds     map[core.AttemptToken]*feed
+	oldFeeds  []oldFeed
+	marks     marks
+	backups   map[core.TargetID]*backupCopy
+	incoming  map[core.TargetID]*handoverIn
+	queries   queries
+	// answerBytes is the size of the stored answers of all records.
+	answerBytes int
 }
 
 // New returns an empty shard. It refuses all requests until it gets its first snapshot.
-func New(opts Options) *Shard { return &Shard{opts: opts} }
+func New(opts Options) *Shard {
+	opts.TokenStep = max(opts.TokenStep, 1)
+	return &Shard{
+		opts:      opts,
+		sets:      map[core.ServiceID]*serviceSets{},
+		inherited: map[core.ServiceID][]core.FormerSet{},
+		notes:     newFlowTable(opts.Seed),
+		owners:    map[core.TargetID]*owner{},
+		down:      map[core.VMName]bool{},
+		attempts:  map[core.AttemptToken]*attempt{},
+		retryFund: retryReserve,
+		feeds:     map[core.AttemptToken]*feed{},
+		marks:     newMarks(),
+		backups:   map[core.TargetID]*backupCopy{},
+		incoming:  map[core.TargetID]*handoverIn{},
+		queries:   newQueries(),
+	}
+}
 
 // Handle processes one input and appends the resulting actions to out.
 func (s *Shard) Handle(in core.Input, now time.Duration, out []core.Action) []core.Action {
-	if in, ok := in.(core.SnapshotPublished); ok {
-		s.snap = in.Snapshot
-	}
+	s.out = out
+	s.advance(now)
+	s.handle(in)
+	s.reportDrained()
+	out = s.out
+	s.out = nil
 	return out
 }
+
+// advance sets the current time and detects that the process was paused.
+func (s *Shard) advance(now time.Duration) {
+	if !s.running {
+		s.running = true
+	} else if now-s.now > core.ClockJump {
+		s.lapsed = true
+		s.emit(core.Event{Kind: core.EventClockJump, VM: s.opts.Self})
+	}
+	s.now = max(s.now, now)
+}
+
+func (s *Shard) handle(in core.Input) {
+	switch in := in.(type) {
+	case core.SnapshotPublished:
+		s.onSnapshot(in.Snapshot)
+	case core.CallerRequest:
+		s.onCaller(in.Request)
+	case core.TargetAnswer:
+		s.onAnswer(in)
+	case core.TargetProbe:
+		s.onProbe(in)
+	case core.PeerMessage:
+		s.onMessage(in.From, in.Msg)
+	case core.TakeOver:
+		s.onTakeOver(in)
+	case core.Release:
+		s.onRelease(in)
+	case core.Drop:
+		s.onDrop(in)
+	case core.LinkEvent:
+		s.onLink(in)
+	case core.Tick:
+		s.onTick()
+	case core.Stop:
+		s.stopped = true
+	}
+}
+
+func (s *Shard) onMessage(from core.VMName, m core.Message) {
+	switch m := m.(type) {
+	case *core.ForwardRequest:
+		s.onForward(m)
+	case *core.FlowLearned:
+		s.notes.put(m.Flow, m.Target, s.now)
+	case *core.FlowQuery:
+		s.onQuery(from, m)
+	case *core.FlowReply:
+		s.onReply(m)
+	case *core.RecordStarted:
+		s.onRecordStarted(from, m)
+	case *core.RecordAck:
+		s.onRecordAck(from, m)
+	case *core.HandoverBegin:
+		s.onHandoverBegin(from, m)
+	case *core.HandoverChunk:
+		s.onHandoverChunk(from, m)
+	case *core.HandoverEnd:
+		s.onHandoverEnd(from, m)
+	case *core.HandoverAck:
+		s.onHandoverAck(from, m)
+	case *core.RequestOutcome:
+		s.onOutcome(m)
+	}
+}
+
+// onSnapshot installs a snapshot and reconsiders everything that waits for one.
+func (s *Shard) onSnapshot(snap *core.Snapshot) {
+	// A snapshot that arrives as the first input after a pause may be older than the pause.
+	jumped := len(s.out) > 0 && isClockJump(s.out[len(s.out)-1])
+	if !jumped {
+		s.lapsed = false
+	}
+	s.snap = snap
+	s.refreshSets()
+	for _, o := range s.ordered {
+		s.applyView(o)
+	}
+	s.confirmHandovers()
+	s.retryParked()
+	s.pumpAll()
+}
+
+func isClockJump(a core.Action) bool {
+	e, ok := a.(core.Event)
+	return ok && e.Kind == core.EventClockJump
+}
+
+// onLink notes which peers cannot be reached.
+func (s *Shard) onLink(e core.LinkEvent) {
+	if e.State == core.LinkUp {
+		delete(s.down, e.Peer)
+	} else {
+		s.down[e.Peer] = true
+	}
+	if e.State == core.LinkRefused {
+		s.abortHandovers(e.Peer)
+	}
+	s.retryParked()
+}
+
+// onTick advances everything that depends on time, in bounded steps.
+func (s *Shard) onTick() {
+	if s.snap == nil {
+		return
+	}
+	s.expireAttempts()
+	for _, o := range slices.Clone(s.ordered) {
+		s.tickOwner(o)
+	}
+	for _, o := range s.former {
+		s.tickRequests(o)
+	}
+	s.former = compact(s.former, s.stillNeeded)
+	s.expireParked()
+	s.expireQueries()
+	s.expireOldFeeds()
+	s.expireBackups()
+	s.expireIncoming()
+	s.marks.expire(s.now)
+	s.sweepNotes()
+	s.pumpAll()
+}
+
+// stillNeeded reports whether a former owner has requests to finish.
+func (s *Shard) stillNeeded(o *owner) bool {
+	if o.inFlight > 0 || len(o.live) > 0 {
+		return true
+	}
+	s.answerBytes -= o.records.bytes
+	return false
+}
+
+// compact removes the elements that are not to be kept, in place.
+func compact[T any](list []T, keep func(T) bool) []T {
+	kept := list[:0]
+	for _, v := range list {
+		if keep(v) {
+			kept = append(kept, v)
+		}
+	}
+	clear(list[len(kept):])
+	return kept
+}
+
+// reportDrained tells control once that a leaving shard has nothing left to finish.
+func (s *Shard) reportDrained() {
+	leaving := s.stopped || s.snap != nil && s.snap.Leaving
+	if !leaving || s.drained {
+		return
+	}
+	busy := len(s.ordered) + len(s.former) + len(s.parked) + len(s.attempts) + len(s.queries.waiting)
+	if busy > 0 {
+		return
+	}
+	s.drained = true
+	s.emit(core.ShardDrained{})
+}
+
+// authority reports whether this VM may start non-idempotent requests and send to cold targets.
+func (s *Shard) authority() bool {
+	return s.snap != nil && !s.lapsed && s.now < s.snap.AuthorityUntil
+}
+
+func (s *Shard) emit(a core.Action) { s.out = append(s.out, a) }
+
+func (s *Shard) send(to core.VMName, m core.Message) {
+	s.emit(core.SendPeer{To: to, Msg: m})
+}
+
+func (s *Shard) event(kind core.EventKind, target core.TargetID) {
+	s.emit(core.Event{Kind: kind, VM: s.opts.Self, Target: target})
+}
+
+// view returns what control knows about a target, or nil.
+func (s *Shard) view(id core.TargetID) *core.TargetView {
+	if s.snap == nil {
+		return nil
+	}
+	return s.snap.Targets[id]
+}
--- /dev/null
+++ b/core/traffic/traffic_test.go
@@ -0,0 +1,138 @@
+package traffic
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against flows that change their target, requests that are lost between VMs, and answers
+// that reach the wrong caller.
+func TestRouting(t *testing.T) {
+	Convey("Given two VMs and four targets", t, func() {
+		f := newFleet(t, 2, 4)
+		f.warm()
+		Convey("requests of a flow reach the same target through any VM", func() {
+			f.request("a", read(1, 1))
+			f.verdict(f.last(), core.AnswerOK, "x")
+			first := f.last().Target
+			f.request("b", read(1, 2))
+			So(f.last().Target, ShouldEqual, first)
+			So(f.last().Request.ID.Lo, ShouldEqual, 2)
+			So(f.answers, ShouldHaveLength, 1)
+			So(string(f.answers[0].Payload), ShouldEqual, "x")
+			_, holder, ok := f.vms["a"].Route(testFlow(1), f.now)
+			So(ok, ShouldBeTrue)
+			So(holder, ShouldEqual, f.views[first].Holder)
+		})
+		Convey("a flow stays on its target when the set changes, for VMs with and without a note", func() {
+			targets := map[int]core.TargetID{}
+			for i := range 40 {
+				f.request("a", read(i, 1))
+				f.verdict(f.last(), core.AnswerOK, "")
+				targets[i] = f.last().Target
+			}
+			f.addTarget(5, "a")
+			f.current = f.current[:4]
+			f.replaceSet(1, 2, 3, 4, 5)
+			f.publish()
+			f.in("a", core.TakeOver{Target: 5, Number: 1, First: true})
+			f.vms["b"].notes = newFlowTable(0)
+			for i := range 40 {
+				for _, vm := range f.names {
+					f.request(vm, read(i, 2))
+					So(f.last().Target, ShouldEqual, targets[i])
+					f.verdict(f.last(), core.AnswerOK, "")
+				}
+			}
+		})
+		Convey("a flow that an older VM placed is found by a VM with a newer set only", func() {
+			f.request("a", read(3, 1))
+			f.verdict(f.last(), core.AnswerOK, "")
+			was := f.last().Target
+			f.replaceSet()
+			for id := core.TargetID(1); id <= 4; id++ {
+				if id != was {
+					f.current = append(f.current, id)
+				}
+			}
+			f.publish()
+			former := f.former
+			f.former = nil
+			f.publishTo("b")
+			f.former = former
+			f.vms["b"].notes = newFlowTable(0)
+			if f.views[f.current[0]].Holder == "b" {
+				So(f.vms["b"].candidates(testFlow(3)), ShouldHaveLength, 1)
+			}
+			f.request("a", read(3, 2))
+			So(f.last().Target, ShouldEqual, was)
+		})
+		Convey("a request for an unreachable holder waits and is served by the next one", func() {
+			f.request("a", read(1, 1))
+			f.verdict(f.last(), core.AnswerOK, "")
+			id := f.last().Target
+			lost := f.views[id].Holder
+			other := f.names[0]
+			if other == lost {
+				other = f.names[1]
+			}
+			f.cut[lost] = true
+			f.in(other, core.LinkEvent{Peer: lost, State: core.LinkRefused})
+			f.request(other, read(1, 2))
+			n := len(f.requests())
+			f.views[id].Holder, f.views[id].Desired = other, other
+			f.publishTo(other)
+			f.in(other, core.TakeOver{Target: id, Number: 2, FormerDiedBy: f.now})
+			f.tick(200 * time.Millisecond)
+			So(f.requests(), ShouldHaveLength, n+1)
+			So(f.last().Target, ShouldEqual, id)
+		})
+		Convey("a request without a snapshot is refused", func() {
+			s := New(Options{Self: "x"})
+			out := s.Handle(core.CallerRequest{Request: posting(1, 1)}, f.now, nil)
+			So(out, ShouldHaveLength, 1)
+			So(out[0].(core.RefuseCaller).Run, ShouldEqual, core.RunUnknown)
+		})
+	})
+}
+
+// Guards against answers given to another request, and against late answers that free a slot twice.
+func TestAnswers(t *testing.T) {
+	Convey("Given a request in flight", t, func() {
+		f := newFleet(t, 1, 1)
+		f.request("a", read(1, 1))
+		s := f.last()
+		Convey("its answer reaches the caller once", func() {
+			f.verdict(s, core.AnswerOK, "x")
+			f.verdict(s, core.AnswerOK, "x")
+			So(f.answers, ShouldHaveLength, 1)
+			So(f.count(core.EventAnswerDropped), ShouldEqual, 1)
+			So(f.owner(1).inFlight, ShouldEqual, 0)
+		})
+		Convey("an answer from another address or for another flow or service is dropped", func() {
+			wrong := answerTo(s, core.AnswerOK, "x")
+			wrong.From = f.views[1].Target.Addr
+			wrong.Flow = testFlow(2)
+			f.in("a", wrong)
+			wrong = answerTo(s, core.AnswerOK, "x")
+			wrong.Flow.Service++
+			f.in("a", wrong)
+			wrong = answerTo(s, core.AnswerOK, "x")
+			wrong.From = testFlow(9).CallerAddr()
+			f.in("a", wrong)
+			So(f.answers, ShouldBeEmpty)
+			So(f.count(core.EventAnswerDropped), ShouldEqual, 3)
+			So(f.owner(1).inFlight, ShouldEqual, 1)
+		})
+		Convey("an answer after the deadline is not handed on", func() {
+			f.tick(5 * time.Second)
+			So(f.refusals, ShouldHaveLength, 1)
+			So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+			f.verdict(f.last(), core.AnswerOK, "x")
+			So(f.answers, ShouldBeEmpty)
+		})
+	})
+}
