--- a/core/vm/scenario_test.go
+++ b/core/vm/scenario_test.go
@@ -24,6 +24,7 @@
 func requireClean(t *testing.T, w *coretest.World) {
 	t.Helper()
 	const shown = 12
+	t.Log(w.Stats.Summary())
 	v := w.Stats.Violations
 	for i, line := range v {
 		if i == shown {
--- a/internal/coretest/caller.go
+++ b/internal/coretest/caller.go
@@ -55,17 +55,21 @@
 
 // AddCaller starts a caller.
 func (w *World) AddCaller(opts CallerOptions) *Caller {
-	var key core.FlowKey
-	key.Service = opts.Service
-	binary.BigEndian.PutUint32(key.Caller[12:], 0x0a000000+uint32(len(w.callers)))
-	key.Caller[10], key.Caller[11] = 0xff, 0xff
-	key.Port = 5000
+	key := callerKey(len(w.callers), opts.Service)
 	c := &Caller{Key: key, w: w, opts: opts, calls: map[core.RequestID]*call{}}
 	w.callers[key] = c
 	w.After(opts.Quiet, c.start)
 	return c
 }
 
+// callerKey returns the flow of the i-th caller.
+func callerKey(i int, service core.ServiceID) core.FlowKey {
+	key := core.FlowKey{Port: 5000, Service: service}
+	key.Caller[10], key.Caller[11] = 0xff, 0xff
+	binary.BigEndian.PutUint32(key.Caller[12:], 0x0a000000+uint32(i))
+	return key
+}
+
 // Callers returns the number of callers.
 func (w *World) Callers() int { return len(w.callers) }
 
--- a/internal/coretest/stats.go
+++ b/internal/coretest/stats.go
@@ -1,6 +1,8 @@
 package coretest
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -93,3 +95,21 @@
 	}
 	return float64(s.Done[c]) / float64(s.Offered[c])
 }
+
+// Summary returns the refusals by reason and the events by kind, for test logs.
+func (s *Stats) Summary() string {
+	var b strings.Builder
+	for r, n := range s.Refused {
+		if n > 0 {
+			fmt.Fprintf(&b, " %s=%d", core.RefusalReason(r), n)
+		}
+	}
+	b.WriteString(" |")
+	for k, n := range s.Events {
+		if n > 0 {
+			fmt.Fprintf(&b, " %s=%d", core.EventKind(k), n)
+		}
+	}
+	fmt.Fprintf(&b, " | feed seconds live %d of %d", s.FeedLive, s.FeedSeconds)
+	return b.String()
+}
--- a/internal/coretest/target.go
+++ b/internal/coretest/target.go
@@ -144,15 +144,17 @@
 	t.inUse--
 	t.Done++
 	t.w.executed(t, a.Request)
+	status := core.AnswerOK
 	switch a.Request.Method {
 	case core.MethodSubscribe:
 		t.subscribe(m, a)
+		status = core.AnswerNotification
 	case core.MethodUnsubscribe:
 		delete(t.feeds, a.Request.Flow)
 	}
-	t.answer(m, a, core.AnswerOK, t.AnswerDelay)
+	t.answer(m, a, status, t.AnswerDelay)
 	if t.DuplicateAnswers {
-		t.answer(m, a, core.AnswerOK, t.AnswerDelay+t.ServiceTime*5)
+		t.answer(m, a, status, t.AnswerDelay+t.ServiceTime*5)
 	}
 }
 
--- a/internal/coretest/world.go
+++ b/internal/coretest/world.go
@@ -38,6 +38,11 @@
 	DropRate, DuplicateRate, LateRate float64
 	// Shards is the number of traffic shards per VM; default 1.
 	Shards int
+	// Trace gets a line for every input and action that concerns the flow of caller number
+	// TraceCaller, and for every event of control when TraceEvents is set.
+	Trace       func(line string)
+	TraceCaller int
+	TraceEvents bool
 }
 
 // World is a deployment in virtual time.
@@ -286,7 +291,9 @@
 		}
 		return
 	}
+	w.trace(m, "in ", in)
 	for _, a := range m.core.Handle(in, w.now) {
+		w.trace(m, "out", a)
 		w.perform(m, a)
 	}
 }
@@ -324,6 +331,7 @@
 // event counts an event and checks that no VM's configuration reverts.
 func (w *World) event(m *machine, e core.Event) {
 	w.Stats.Events[e.Kind]++
+	w.traceEvent(m, e)
 	if e.Kind != core.EventConfigInstalled {
 		return
 	}
