--- a/internal/cli/zone.go
+++ b/internal/cli/zone.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/internal/contract"
 	"github.com/mangoweir/mangoweir/internal/platform"
 )
@@ -21,13 +22,15 @@
 		Long: `Take a zone out of service or back into it. This is an ordinary new generation of the manifest.
 
 When another generation is accepted at the same moment, the change is made to that one. Flows that end
-in a zone taken out of service are given up.`,
+in a zone taken out of service are given up. The last zone in service stays in service unless --last
+is given.`,
 		Example:   "  mangoweir zone out randstad-dt --vm http://127.2.11.1:8080",
 		Args:      cobra.ExactArgs(2),
 		ValidArgs: []string{contract.StateOut, contract.StateIn},
 	}
 	a.addRemoteFlags(cmd)
 	format := addOutputFlag(cmd)
+	last := cmd.Flags().Bool("last", false, "allow that no zone is left in service")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		state := args[0]
 		if state != contract.StateIn && state != contract.StateOut {
@@ -37,7 +40,7 @@
 		if err != nil {
 			return err
 		}
-		result, err := setZone(cmd.Context(), client, args[1], state)
+		result, err := setZone(cmd.Context(), client, args[1], state, *last)
 		if err != nil {
 			return err
 		}
@@ -46,8 +49,25 @@
 	return cmd
 }
 
+// errLastZone guards against two operators who take the two last zones out at the same moment.
+var errLastZone = errors.New("no zone would be left in service; take another zone in first, or use --last")
+
+// inService reports whether a valid manifest has a zone in service.
+func inService(text []byte) bool {
+	config, err := contract.Decode(0, text)
+	if err != nil {
+		return false
+	}
+	for _, z := range config.Zones {
+		if z.State == core.ZoneIn {
+			return true
+		}
+	}
+	return false
+}
+
 // setZone changes the state of a zone in the manifest in force.
-func setZone(ctx context.Context, store platform.Store, zone, state string) (acceptance, error) {
+func setZone(ctx context.Context, store platform.Store, zone, state string, last bool) (acceptance, error) {
 	for n := 1; ; n++ {
 		inForce, err := readManifest(ctx, store)
 		if err != nil {
@@ -60,6 +80,9 @@
 		if err != nil {
 			return acceptance{}, err
 		}
+		if state == contract.StateOut && !last && !inService(next) {
+			return acceptance{}, errLastZone
+		}
 		result, err := put(ctx, store, inForce, next)
 		var conflict *platform.ConflictError
 		if n == maxZoneTries || !errors.As(err, &conflict) {
--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -1,9 +1,8 @@
 package jsonc
 
 import (
+	"bytes"
 	"encoding"
-	"encoding/json"
-	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
@@ -45,7 +44,7 @@
 		d.wrongType(v, path, "a string", expect)
 		return
 	}
-	if err := to.UnmarshalText([]byte(lit.String())); err != nil {
+	if err := to.UnmarshalText([]byte(unquote(lit))); err != nil {
 		d.wrongType(v, path, "a valid value", expect)
 	}
 }
@@ -56,11 +55,11 @@
 		d.wrongType(v, path, "an object", expect)
 		return
 	}
-	fields := fieldsOf(to.Type())
+	fields := d.fieldsOf(to.Type())
 	seen := make(map[string]bool, len(obj.Members))
 	for i := range obj.Members {
 		m := &obj.Members[i]
-		name := m.Name.Value.(hujson.Literal).String()
+		name := unquote(m.Name.Value.(hujson.Literal))
 		at := path.Field(name)
 		if seen[name] {
 			d.addAt(m.Name.StartOffset, KindDuplicateKey, at.String(), d.excerpt(&m.Value),
@@ -74,7 +73,7 @@
 				"unknown field", "remove it or use one of: "+strings.Join(fields.names, ", "))
 			continue
 		}
-		d.decode(&m.Value, to.FieldByIndex(f.Index), at, f.Tag.Get("expect"))
+		d.decode(&m.Value, to.Field(f.index), at, f.expect)
 	}
 }
 
@@ -92,15 +91,54 @@
 }
 
 func (d *Document) decodeLiteral(v *hujson.Value, to reflect.Value, path Path, expect string) {
-	want := literalName(to.Kind())
 	lit, ok := v.Value.(hujson.Literal)
-	if !ok || lit.Kind() == 'n' {
-		d.wrongType(v, path, want, expect)
-		return
+	if !ok || !setLiteral(to, lit) {
+		d.wrongType(v, path, literalName(to.Kind()), expect)
 	}
-	if err := json.Unmarshal(lit, to.Addr().Interface()); err != nil {
-		d.wrongType(v, path, want, expect)
+}
+
+// setLiteral stores a literal that the parser has accepted, and reports whether its type fits.
+func setLiteral(to reflect.Value, lit hujson.Literal) bool {
+	kind := lit.Kind()
+	switch to.Kind() {
+	case reflect.String:
+		if kind != '"' {
+			return false
+		}
+		to.SetString(unquote(lit))
+	case reflect.Bool:
+		if kind != 't' && kind != 'f' {
+			return false
+		}
+		to.SetBool(lit.Bool())
+	case reflect.Float32, reflect.Float64:
+		n, err := strconv.ParseFloat(string(lit), to.Type().Bits())
+		if kind != '0' || err != nil {
+			return false
+		}
+		to.SetFloat(n)
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		n, err := strconv.ParseUint(string(lit), 10, to.Type().Bits())
+		if kind != '0' || err != nil {
+			return false
+		}
+		to.SetUint(n)
+	default:
+		n, err := strconv.ParseInt(string(lit), 10, to.Type().Bits())
+		if kind != '0' || err != nil {
+			return false
+		}
+		to.SetInt(n)
 	}
+	return true
+}
+
+// unquote returns the content of a string literal.
+func unquote(lit hujson.Literal) string {
+	if bytes.IndexByte(lit, '\\') < 0 {
+		return string(lit[1 : len(lit)-1])
+	}
+	return lit.String()
 }
 
 func (d *Document) wrongType(v *hujson.Value, path Path, want, expect string) {
@@ -137,35 +175,3 @@
 		return 64
 	}
 }
-
-// structFields are the fields of a struct type that have a json tag.
-type structFields struct {
-	byName map[string]reflect.StructField
-	names  []string
-}
-
-func fieldsOf(t reflect.Type) structFields {
-	out := structFields{byName: make(map[string]reflect.StructField, t.NumField())}
-	for i := range t.NumField() {
-		f := t.Field(i)
-		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		if name == "" || name == "-" {
-			continue
-		}
-		if !supported(f.Type) {
-			panic(fmt.Sprintf("jsonc: field %s.%s has the unsupported type %s", t, f.Name, f.Type))
-		}
-		out.byName[name] = f
-		out.names = append(out.names, name)
-	}
-	return out
-}
-
-// supported reports whether values of type t can be decoded.
-func supported(t reflect.Type) bool {
-	switch t.Kind() {
-	case reflect.Map, reflect.Interface, reflect.Chan, reflect.Func, reflect.Array:
-		return reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]())
-	}
-	return true
-}
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"regexp"
 	"sort"
 	"strconv"
@@ -33,12 +34,13 @@
 	problems   Problems
 	// failed holds the pointers of the values of a wrong type.
 	failed map[string]bool
+	fields map[reflect.Type]*structFields
 }
 
 // Parse parses text; file names it in problems. The error is a *Problems.
 func Parse(file string, text []byte) (*Document, error) {
 	d := &Document{file: file, text: text, lineStarts: lineStarts(text),
-		failed: map[string]bool{}}
+		failed: map[string]bool{}, fields: map[reflect.Type]*structFields{}}
 	if len(text) > MaxSize {
 		d.addAt(0, KindTooLarge, "", "", fmt.Sprintf("the file has %d bytes", len(text)),
 			fmt.Sprintf("keep it within %d bytes", MaxSize))
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -45,6 +45,8 @@
 	timeout  time.Duration
 	attempts int
 	limiter  *rate.Limiter
+	// interval is the time between two calls at the client's own rate.
+	interval time.Duration
 }
 
 // NewClient returns a client of the API at the base URL.
@@ -56,12 +58,16 @@
 	if o.Transport == nil {
 		o.Transport = &http.Transport{MaxConnsPerHost: 8, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	}
+	perSecond := orDefault(o.Rate, DefaultRate)
+	// A redirect would send a write to a place that the operator has not named.
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		base:     strings.TrimSuffix(baseURL, "/"),
-		http:     http.Client{Transport: o.Transport},
+		http:     http.Client{Transport: o.Transport, CheckRedirect: noRedirect},
 		timeout:  orDefault(o.Timeout, DefaultTimeout),
 		attempts: orDefault(o.Attempts, DefaultAttempts),
-		limiter:  rate.NewLimiter(rate.Limit(orDefault(o.Rate, DefaultRate)), orDefault(o.Burst, DefaultBurst)),
+		limiter:  rate.NewLimiter(rate.Limit(perSecond), orDefault(o.Burst, DefaultBurst)),
+		interval: time.Duration(float64(time.Second) / perSecond),
 	}, nil
 }
 
--- a/internal/platform/retry.go
+++ b/internal/platform/retry.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -20,26 +21,33 @@
 
 // do sends a call, and again after failures where that is safe.
 func (c *Client) do(ctx context.Context, in call) (*answer, error) {
+	var inDoubt error
 	for n := 1; ; n++ {
-		if err := c.limiter.Wait(ctx); err != nil {
-			return nil, &UnavailableError{Op: in.op, Err: err}
+		a, err := c.limited(ctx, in)
+		if err == nil {
+			return a, nil
 		}
-		a, err := c.attempt(ctx, in)
-		if err == nil || n >= c.attempts || !in.repeatable(err) {
-			return a, err
+		var unknown *UnknownOutcomeError
+		if errors.As(err, &unknown) {
+			inDoubt = err
 		}
-		pause := backoff(n)
-		var limited *RateLimitedError
-		if errors.As(err, &limited) {
-			if limited.RetryAfter > maxBackoff {
-				return nil, err
-			}
-			pause += limited.RetryAfter
+		if n >= c.attempts || !in.repeatable(err) || !sleep(ctx, pause(n, err)) {
+			// A later attempt that was refused does not undo an earlier one.
+			return nil, cmp.Or(inDoubt, err)
 		}
-		if !sleep(ctx, pause) {
-			return nil, err
+	}
+}
+
+// limited sends a call once, when the client's own rate allows it.
+func (c *Client) limited(ctx context.Context, in call) (*answer, error) {
+	if err := c.limiter.Wait(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil, &UnavailableError{Op: in.op, Err: ctx.Err()}
 		}
+		// The turn would come after the context's deadline.
+		return nil, &RateLimitedError{Op: in.op, RetryAfter: c.interval}
 	}
+	return c.attempt(ctx, in)
 }
 
 // repeatable reports whether the call may be sent again after the error.
@@ -56,7 +64,7 @@
 		return in.repeat
 	default:
 		// Neither error comes after an effect.
-		return errors.As(err, &unavailable) || errors.As(err, &limited)
+		return errors.As(err, &unavailable) || errors.As(err, &limited) && limited.RetryAfter <= maxBackoff
 	}
 }
 
@@ -108,6 +116,15 @@
 	return &BadRequestError{Op: in.op, Message: err.Error()}
 }
 
+// pause returns the time to wait after an attempt.
+func pause(attempt int, err error) time.Duration {
+	var limited *RateLimitedError
+	if errors.As(err, &limited) {
+		return backoff(attempt) + limited.RetryAfter
+	}
+	return backoff(attempt)
+}
+
 func backoff(attempt int) time.Duration {
 	d := min(firstBackoff<<(attempt-1), maxBackoff)
 	return d - rand.N(d/2)
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -141,6 +141,23 @@
 			So(s.Object("k").Version, ShouldEqual, 1)
 			So(s.Calls().Put, ShouldEqual, 1)
 		})
+		Convey("a lost answer stays in doubt when the repetition is refused", func() {
+			s.LoseAnswers(1)
+			s.OnPut(func(string) { s.SetOutage(Refusing) })
+			_, err := c.Replace(ctx, "k", []byte("v"))
+			So(errors.As(err, &unknown), ShouldBeTrue)
+			So(s.Calls().Put, ShouldEqual, api.DefaultAttempts)
+			So(s.Object("k").Version, ShouldEqual, 1)
+		})
+		Convey("a call whose turn comes after its deadline is refused at once", func() {
+			slow := client(t, "http://"+s.listener.Addr().String(), api.Options{Rate: 0.1, Burst: 1})
+			short, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			_, err := slow.Get(short, "k")
+			So(err, ShouldBeNil)
+			_, err = slow.Get(short, "k")
+			So(errors.As(err, &limited), ShouldBeTrue)
+		})
 		Convey("a read is repeated, a bounded number of times", func() {
 			s.SetOutage(Cutting)
 			_, err := c.Get(ctx, "k")
