link: keep one link per pair of VMs, with silence detection

Cause: the daemon needs links that report a peer's death within a fraction of a second, survive connections that go silent, and keep transfers from delaying requests. Change: Manager with Dial, Hangup, Send and callbacks for messages and link events; Hello in both directions; yamux with one stream each for control, traffic, handover and configuration; bounded queues; a fresh connection after 1.5 s without bytes; counts per class and for garbage; TLS 1.3 with client certificates when credentials are set (tests follow with package keys). telemetry.LimitedLogger writes at most one line per second and kind. Ruled out: yamux keepalive (heartbeats and a ping after 1 s of silence do); handover messages on the control stream, where they delay heartbeats; closing a link at the first end of a stream, which lost up to all of 200 messages that a closing VM had sent; kernel send buffers of 128 KB, behind which a request waited 2.0 s of an 8.6 s transfer.

--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,282 @@
+package link
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/wire"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against two links per pair, or none, when both sides dial at once.
+func TestBothDial(t *testing.T) {
+	for range 20 {
+		a, b := startVM(t, "vm-a", nil), startVM(t, "vm-b", nil)
+		go a.Dial("vm-b", b.Addr())
+		go b.Dial("vm-a", a.Addr())
+		same := func() bool {
+			id := a.linkID("vm-b")
+			return id != 0 && id == b.linkID("vm-a")
+		}
+		eventually(t, "one link", same)
+		time.Sleep(20 * time.Millisecond)
+		eventually(t, "the link stays", same)
+		if !a.Send("vm-b", forward()) || !b.Send("vm-a", heartbeat(1)) {
+			t.Fatal("not queued")
+		}
+		eventually(t, "forward", func() bool { return b.got(isForward) == 1 })
+		eventually(t, "heartbeat", func() bool { return a.got(isHeartbeat) == 1 })
+		a.Close()
+		b.Close()
+	}
+}
+
+// Guards against a silent connection that is kept although new ones work, from either side.
+func TestSilentLinkReplaced(t *testing.T) {
+	for _, dialer := range []string{"lower name dials", "higher name dials"} {
+		t.Run(dialer, func(t *testing.T) {
+			t.Parallel()
+			a, b := startVM(t, "vm-a", nil), startVM(t, "vm-b", nil)
+			if strings.HasPrefix(dialer, "higher") {
+				a, b = startVM(t, "vm-z", nil), startVM(t, "vm-b", nil)
+			}
+			r := startRelay(t, b.Addr(), 0)
+			a.Dial("vm-b", r.addr())
+			eventually(t, "link", func() bool { return a.linkID("vm-b") != 0 && b.Stats().Links == 1 })
+			a.beat(t, "vm-b")
+			b.beat(t, a.cfg.Name)
+			eventually(t, "heartbeats", func() bool { return a.got(isHeartbeat) > 0 && b.got(isHeartbeat) > 0 })
+			before := a.linkID("vm-b")
+			r.silence()
+			took := eventually(t, "replacement", func() bool {
+				id := a.linkID("vm-b")
+				return id != 0 && id != before && b.linkID(a.cfg.Name) == id
+			})
+			heard := b.got(isHeartbeat)
+			eventually(t, "heartbeats again", func() bool { return b.got(isHeartbeat) > heard })
+			t.Logf("replaced after %v", took)
+			if a.saw(core.LinkDown) != 0 || a.saw(core.LinkUp) != 1 {
+				t.Fatalf("replacement was reported: %v", a.events)
+			}
+			if took > 2500*time.Millisecond {
+				t.Fatalf("took %v", took)
+			}
+		})
+	}
+}
+
+// Guards against a silent but working link: a peer that sends nothing of its own answers pings.
+func TestQuietLinkStays(t *testing.T) {
+	t.Parallel()
+	a, b := startVM(t, "vm-a", nil), startVM(t, "vm-b", nil)
+	a.Dial("vm-b", b.Addr())
+	eventually(t, "link", func() bool { return a.linkID("vm-b") != 0 })
+	id := a.linkID("vm-b")
+	time.Sleep(4 * time.Second)
+	if a.linkID("vm-b") != id || a.Stats().Replaced != 0 {
+		t.Fatal("a quiet link was replaced")
+	}
+}
+
+// Guards against slow or missing proof of death: the loss of a process has to be followed by a
+// refused dial, and its return by a new link.
+func TestRefused(t *testing.T) {
+	a, b := startVM(t, "vm-a", nil), startVM(t, "vm-b", nil)
+	a.Dial("vm-b", b.Addr())
+	eventually(t, "link", func() bool { return a.saw(core.LinkUp) == 1 })
+	if a.saw(core.LinkRefused) != 0 {
+		t.Fatal("refused before the end")
+	}
+	addr := b.Addr()
+	b.Close()
+	took := eventually(t, "refused", func() bool { return a.saw(core.LinkRefused) > 0 })
+	t.Logf("refused %v after the end", took)
+	// A death counts as proven within 1.5 s of the last heartbeat, which is up to 500 ms old.
+	if took > time.Second {
+		t.Fatalf("took %v", took)
+	}
+	if a.saw(core.LinkDown) != 1 || a.Send("vm-b", heartbeat(1)) {
+		t.Fatal("the link is not down")
+	}
+	startVM(t, "vm-b", func(c *Config) { c.Listen, c.Incarnation = addr, 2 })
+	eventually(t, "new link", func() bool { return a.saw(core.LinkUp) == 2 })
+}
+
+// Guards against a peer that hangs being taken for a dead one, and against a restarted one being
+// taken for the old one.
+func TestNotRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a := startVM(t, "vm-a", nil)
+	a.Dial("vm-b", l.Addr().(*net.TCPAddr).AddrPort())
+	time.Sleep(2500 * time.Millisecond)
+	if a.saw(core.LinkRefused) != 0 || a.saw(core.LinkUp) != 0 {
+		t.Fatalf("reported %v", a.events)
+	}
+	first := startVM(t, "vm-b", nil)
+	first.Dial("vm-a", a.Addr())
+	eventually(t, "first process", func() bool { return a.saw(core.LinkUp) == 1 })
+	second := startVM(t, "vm-b", func(c *Config) { c.Incarnation = 2 })
+	second.Dial("vm-a", a.Addr())
+	eventually(t, "second process", func() bool { return a.saw(core.LinkDown) == 1 && a.saw(core.LinkUp) == 2 })
+}
+
+// Guards against connections of non-peers that stay open, cost memory or pass as peers.
+func TestGarbage(t *testing.T) {
+	a := startVM(t, "vm-a", nil)
+	conns := func(data string) {
+		conn, err := net.Dial("tcp", a.Addr().String())
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		_, err = conn.Write([]byte(data))
+		So(err, ShouldBeNil)
+		So(conn.SetReadDeadline(time.Now().Add(patience)), ShouldBeNil)
+		_, err = io.Copy(io.Discard, conn)
+		var timeout net.Error
+		So(errors.As(err, &timeout) && timeout.Timeout(), ShouldBeFalse)
+	}
+	Convey("Bytes that are no Hello are refused and counted", t, func() {
+		before := a.Stats().Garbage
+		for _, data := range []string{"GET / HTTP/1.1\r\n\r\n", magic + "\xff\xff\xff\xff\x7f", magic + "\x03abc", magic, ""} {
+			conns(data)
+		}
+		eventually(t, "count", func() bool { return a.Stats().Garbage == before+5 })
+	})
+	Convey("A Hello for another VM, or with the own name, is refused", t, func() {
+		h := &wire.Hello{Name: "vm-x", Zone: "z", Incarnation: 1, Min: 1, Max: 2, LinkID: 1, Peer: "vm-b"}
+		_, err := rawHello(t, a.Addr(), h)
+		So(err, ShouldNotBeNil)
+		h.Name, h.Peer = "vm-a", "vm-a"
+		_, err = rawHello(t, a.Addr(), h)
+		So(err, ShouldNotBeNil)
+		So(a.Stats().Links, ShouldEqual, 0)
+	})
+	Convey("A release without a common version learns which versions are spoken", t, func() {
+		h := &wire.Hello{Name: "vm-x", Zone: "z", Incarnation: 1, Min: 8, Max: 9, LinkID: 1, Peer: "vm-a"}
+		answer, err := rawHello(t, a.Addr(), h)
+		So(err, ShouldBeNil)
+		So(answer.Max, ShouldEqual, wire.MaxVersion)
+		So(a.Stats().Links, ShouldEqual, 0)
+	})
+}
+
+// Guards against neighbouring releases that cannot run side by side.
+func TestOldRelease(t *testing.T) {
+	a := startVM(t, "vm-a", func(c *Config) { c.MaxVersion = wire.Version1 })
+	b := startVM(t, "vm-b", nil)
+	a.Dial("vm-b", b.Addr())
+	eventually(t, "link", func() bool { return a.linkID("vm-b") != 0 && b.linkID("vm-a") != 0 })
+	m := heartbeat(1)
+	b.Send("vm-a", m)
+	eventually(t, "heartbeat", func() bool { return a.got(isHeartbeat) == 1 })
+	if got := a.messages[0].Msg.(*core.Heartbeat); got.BackupSeq != core.NoBackupSeq || got.Seq != m.Seq {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// Guards against requests that wait behind a transfer of a large manifest.
+func TestConfigDoesNotDelayRequests(t *testing.T) {
+	t.Parallel()
+	const rate = 1 << 20
+	a, b := startVM(t, "vm-a", nil), startVM(t, "vm-b", nil)
+	r := startRelay(t, b.Addr(), rate)
+	a.Dial("vm-b", r.addr())
+	eventually(t, "link", func() bool { return a.linkID("vm-b") != 0 && b.Stats().Links == 1 })
+	start := time.Now()
+	a.Send("vm-b", &core.ConfigPush{Generation: 7, Text: make([]byte, 1<<20)})
+	var worst time.Duration
+	for range 5 {
+		time.Sleep(50 * time.Millisecond)
+		have := b.got(isForward)
+		a.Send("vm-b", forward())
+		worst = max(worst, eventually(t, "request", func() bool { return b.got(isForward) > have }))
+		if b.got(isConfig) > 0 {
+			t.Fatal("the manifest was too fast for this test")
+		}
+	}
+	eventually(t, "manifest", func() bool { return b.got(isConfig) == 1 })
+	config := time.Since(start)
+	t.Logf("manifest %v, slowest request %v", config, worst)
+	if worst > config/4 {
+		t.Fatalf("a request took %v", worst)
+	}
+}
+
+// Guards against a Send that blocks, or that hides drops, when a peer does not read.
+func TestSendNeverBlocks(t *testing.T) {
+	block := make(chan struct{})
+	a := startVM(t, "vm-a", nil)
+	b := startVM(t, "vm-b", func(c *Config) { c.OnMessage = func(core.PeerMessage) { <-block } })
+	t.Cleanup(func() { close(block) })
+	a.Dial("vm-b", b.Addr())
+	eventually(t, "link", func() bool { return a.linkID("vm-b") != 0 })
+	big := forward()
+	big.Request.Payload = make([]byte, 32<<10)
+	start := time.Now()
+	queued := 0
+	for range 1000 {
+		if a.Send("vm-b", big) {
+			queued++
+		}
+	}
+	s := a.Stats()
+	if time.Since(start) > 2*time.Second || queued == 1000 || s.QueueFull != uint64(1000-queued) {
+		t.Fatalf("queued %d, dropped %d in %v", queued, s.QueueFull, time.Since(start))
+	}
+	if a.Send("vm-c", big) || a.Stats().NoLink != 1 {
+		t.Fatal("sent to nobody")
+	}
+	big.Request.Payload = make([]byte, wire.MaxSize)
+	if a.Send("vm-b", big) || a.Stats().Unencodable != 1 {
+		t.Fatal("queued a message that is too large")
+	}
+}
+
+// Guards against a Close that loses what was queued, as a leaving VM's last reports are.
+func TestCloseFlushes(t *testing.T) {
+	a, b := startVM(t, "vm-a", nil), startVM(t, "vm-b", nil)
+	a.Dial("vm-b", b.Addr())
+	eventually(t, "link", func() bool { return a.linkID("vm-b") != 0 })
+	for range 200 {
+		a.Send("vm-b", forward())
+	}
+	a.Close()
+	eventually(t, "all messages", func() bool { return b.got(isForward) == 200 })
+}
+
+// Guards against heartbeats that take more than the control budget of 5 KB/s, received bytes and the
+// framing of yamux included, for 8 VMs that send 14 heartbeats a second each and receive as many.
+func TestControlBudget(t *testing.T) {
+	t.Parallel()
+	a, b := startVM(t, "vm-a", nil), startVM(t, "vm-b", nil)
+	measureBudget(t, a, b)
+}
+
+func measureBudget(t *testing.T, a, b *vm) {
+	const beats = 50
+	a.Dial("vm-b", b.Addr())
+	eventually(t, "link", func() bool { return a.linkID("vm-b") != 0 && b.linkID("vm-a") != 0 })
+	time.Sleep(100 * time.Millisecond)
+	before := a.Stats()
+	for i := range uint64(beats) {
+		a.Send("vm-b", heartbeat(i))
+		b.Send("vm-a", heartbeat(i))
+		time.Sleep(10 * time.Millisecond)
+	}
+	eventually(t, "heartbeats", func() bool { return a.got(isHeartbeat) == beats && b.got(isHeartbeat) == beats })
+	after := a.Stats()
+	wireBytes := after.WireSent - before.WireSent + after.WireReceived - before.WireReceived
+	each := float64(wireBytes) / (2 * beats)
+	t.Logf("%.1f bytes per heartbeat on the wire, %.0f bytes/s sent and received, %.0f sent", each, 28*each, 14*each)
+	if 28*each > 5000 {
+		t.Fatal("over the budget of 5 KB/s")
+	}
+}
--- /dev/null
+++ b/internal/link/manager.go
@@ -0,0 +1,189 @@
+package link
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/telemetry"
+)
+
+// Manager keeps the links of an entry VM. All methods may be called from any goroutine and from the
+// callbacks, except for Close, which waits for callbacks to return.
+type Manager struct {
+	cfg        Config
+	listener   net.Listener
+	limited    *telemetry.LimitedLogger
+	stats      stats
+	handshakes chan struct{}
+	ctx        context.Context
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
+
+	mu      sync.RWMutex
+	peers   map[core.VMName]*peer
+	events  []core.LinkEvent
+	closing bool
+
+	// delivering is held while OnLink is called, which keeps events in order. It is apart from mu so
+	// that OnLink may call the Manager.
+	delivering sync.Mutex
+}
+
+// Start opens the peer port and returns a Manager. Errors: ErrConfig, ErrListen.
+func Start(cfg Config) (*Manager, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Name == "" || cfg.Zone == "" || cfg.OnMessage == nil || cfg.OnLink == nil || !cfg.Listen.IsValid() {
+		return nil, newError(ErrConfig, "VM %q", cfg.Name)
+	}
+	listener, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return nil, newError(ErrListen, "%v", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Manager{
+		cfg:        cfg,
+		listener:   listener,
+		limited:    telemetry.NewLimitedLogger(cfg.Log),
+		handshakes: make(chan struct{}, maxHandshakes),
+		ctx:        ctx,
+		cancel:     cancel,
+		peers:      map[core.VMName]*peer{},
+	}
+	if cfg.Credentials == nil {
+		cfg.Log.Warn("peer links are not encrypted, set certificates to secure them")
+	}
+	m.goroutines.Go(m.acceptLoop)
+	return m, nil
+}
+
+// Addr returns the address of the peer port.
+func (m *Manager) Addr() netip.AddrPort {
+	return m.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Dial keeps a link to a peer until Hangup. Called again, it changes the peer's address. A link that
+// exists stays.
+func (m *Manager) Dial(name core.VMName, addr netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closing || name == m.cfg.Name {
+		return
+	}
+	p := m.peers[name]
+	if p == nil {
+		if len(m.peers) >= maxPeers {
+			m.limited.Log(slog.LevelError, "peers", "peer not dialed, too many peers", "peer", name)
+			return
+		}
+		p = newPeer(name)
+		m.peers[name] = p
+	}
+	changed := p.addr != addr
+	p.addr = addr
+	if !p.wanted {
+		p.wanted = true
+		ctx, cancel := context.WithCancel(m.ctx)
+		p.cancel = cancel
+		m.goroutines.Go(func() { m.dialLoop(ctx, p) })
+		return
+	}
+	if changed {
+		p.wakeUp()
+	}
+}
+
+// Hangup closes the link to a peer and stops dialing it. It is not reported by OnLink.
+func (m *Manager) Hangup(name core.VMName) {
+	m.mu.Lock()
+	p := m.peers[name]
+	if p == nil {
+		m.mu.Unlock()
+		return
+	}
+	delete(m.peers, name)
+	p.wanted = false
+	p.cancel()
+	cur := p.current
+	p.current = nil
+	m.mu.Unlock()
+	if cur != nil {
+		cur.close()
+	}
+}
+
+// Send queues a message for a peer and returns whether it was queued. It never blocks. A queued
+// message is lost when the link ends before it is sent.
+func (m *Manager) Send(name core.VMName, msg core.Message) bool {
+	m.mu.RLock()
+	var cur *link
+	if p := m.peers[name]; p != nil {
+		cur = p.current
+	}
+	m.mu.RUnlock()
+	if cur == nil {
+		m.stats.noLink.Add(1)
+		return false
+	}
+	return cur.send(msg)
+}
+
+// Stats returns the counts since the start.
+func (m *Manager) Stats() Stats {
+	return m.stats.snapshot(len(m.links()))
+}
+
+// links returns the links that are up.
+func (m *Manager) links() []*link {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var all []*link
+	for _, p := range m.peers {
+		if p.current != nil {
+			all = append(all, p.current)
+		}
+	}
+	return all
+}
+
+// closeWait bounds how long Close waits for queued messages, and then for peers to read them.
+const closeWait = 250 * time.Millisecond
+
+// Close sends what is queued, closes all links and the peer port, and waits for all goroutines. From
+// then on dialing peers are refused and count this VM's process as dead, so it is the last step
+// before the process ends.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closing = true
+	m.mu.Unlock()
+	m.cancel()
+	_ = m.listener.Close()
+	links := m.links()
+	waitUntil(closeWait, links, (*link).flushed)
+	for _, l := range links {
+		l.finish()
+	}
+	waitUntil(closeWait, links, (*link).isClosed)
+	for _, l := range links {
+		l.close()
+	}
+	m.goroutines.Wait()
+}
+
+// waitUntil waits until done holds for all links, at most for d.
+func waitUntil(d time.Duration, links []*link, done func(*link) bool) {
+	const step = 5 * time.Millisecond
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
+		all := true
+		for _, l := range links {
+			all = all && (done(l) || l.isClosed())
+		}
+		if all {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/stats.go
@@ -0,0 +1,89 @@
+package link
+
+import "sync/atomic"
+
+// Count is a number of messages and their bytes, frame lengths included.
+type Count struct {
+	Messages, Bytes uint64
+}
+
+// Stats are counts since the start of a Manager.
+type Stats struct {
+	// Control counts all messages but those of Traffic.
+	ControlSent, ControlReceived Count
+	// Traffic counts ForwardRequest, RecordStarted, RecordAck, RequestOutcome and FlowLearned.
+	TrafficSent, TrafficReceived Count
+	// WireSent and WireReceived are the bytes of all connections, with yamux and TLS framing.
+	WireSent, WireReceived uint64
+	// Links is the number of links that are up.
+	Links int
+	// Replaced counts links that a fresh connection replaced.
+	Replaced uint64
+	// DialsRefused counts dialed connections that the peer's machine refused.
+	DialsRefused uint64
+	// Garbage counts accepted connections that were no peers, failed TLS or had a wrong name.
+	Garbage uint64
+	// NoLink, QueueFull and Unencodable count messages that Send dropped.
+	NoLink, QueueFull, Unencodable uint64
+	// LostInQueue counts queued messages of links that ended.
+	LostInQueue uint64
+	// UnknownKinds and Invalid count received messages that were dropped.
+	UnknownKinds, Invalid uint64
+}
+
+type counter struct{ messages, bytes atomic.Uint64 }
+
+func (c *counter) add(bytes int) {
+	c.messages.Add(1)
+	c.bytes.Add(uint64(bytes))
+}
+
+func (c *counter) count() Count {
+	return Count{Messages: c.messages.Load(), Bytes: c.bytes.Load()}
+}
+
+type stats struct {
+	controlSent, controlReceived   counter
+	trafficSent, trafficReceived   counter
+	wireSent, wireReceived         atomic.Uint64
+	replaced, dialsRefused         atomic.Uint64
+	garbage                        atomic.Uint64
+	noLink, queueFull, unencodable atomic.Uint64
+	lostInQueue                    atomic.Uint64
+	unknownKinds, invalid          atomic.Uint64
+}
+
+func (s *stats) sent(traffic bool) *counter {
+	if traffic {
+		return &s.trafficSent
+	}
+	return &s.controlSent
+}
+
+func (s *stats) received(traffic bool) *counter {
+	if traffic {
+		return &s.trafficReceived
+	}
+	return &s.controlReceived
+}
+
+func (s *stats) snapshot(links int) Stats {
+	return Stats{
+		ControlSent:     s.controlSent.count(),
+		ControlReceived: s.controlReceived.count(),
+		TrafficSent:     s.trafficSent.count(),
+		TrafficReceived: s.trafficReceived.count(),
+		WireSent:        s.wireSent.Load(),
+		WireReceived:    s.wireReceived.Load(),
+		Links:           links,
+		Replaced:        s.replaced.Load(),
+		DialsRefused:    s.dialsRefused.Load(),
+		Garbage:         s.garbage.Load(),
+		NoLink:          s.noLink.Load(),
+		QueueFull:       s.queueFull.Load(),
+		Unencodable:     s.unencodable.Load(),
+		LostInQueue:     s.lostInQueue.Load(),
+		UnknownKinds:    s.unknownKinds.Load(),
+		Invalid:         s.invalid.Load(),
+	}
+}
--- /dev/null
+++ b/internal/telemetry/limited.go
@@ -0,0 +1,62 @@
+package telemetry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// limitedInterval is the shortest time between two lines of a kind.
+const limitedInterval = time.Second
+
+// LimitedLogger writes at most one line per second and kind, so that bad input cannot flood the
+// log. A line states how many lines of its kind were suppressed before it. Safe for concurrent use.
+type LimitedLogger struct {
+	log   *slog.Logger
+	now   func() time.Time
+	mu    sync.Mutex
+	kinds map[string]*limitedKind
+}
+
+type limitedKind struct {
+	last       time.Time
+	suppressed uint64
+}
+
+// NewLimitedLogger returns a LimitedLogger that writes to log.
+func NewLimitedLogger(log *slog.Logger) *LimitedLogger {
+	return &LimitedLogger{log: log, now: time.Now, kinds: map[string]*limitedKind{}}
+}
+
+// Log writes a line unless one of the same kind was written within the last second. Kinds are
+// constants of the calling code: each takes memory for good.
+func (l *LimitedLogger) Log(level slog.Level, kind, msg string, args ...any) {
+	suppressed, ok := l.admit(kind)
+	if !ok {
+		return
+	}
+	if suppressed > 0 {
+		args = append(args[:len(args):len(args)], "suppressed", suppressed)
+	}
+	l.log.Log(context.Background(), level, msg, args...)
+}
+
+// admit returns whether a line may be written, and how many were not since the last one.
+func (l *LimitedLogger) admit(kind string) (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	k := l.kinds[kind]
+	if k == nil {
+		k = &limitedKind{}
+		l.kinds[kind] = k
+	} else if now.Sub(k.last) < limitedInterval {
+		k.suppressed++
+		return 0, false
+	}
+	suppressed := k.suppressed
+	k.last = now
+	k.suppressed = 0
+	return suppressed, true
+}
