keys: issue, check and reload the certificates of peer links

Cause: mutual TLS between VMs needs certificates that operators can create and renew without restarting VMs. Change: CreateAuthority and Issue write PEM files, keys with mode 0600; Load checks mode, key, time, name, usage and authority before a peer does, with one error kind per mistake; Store.Watch takes over changed files that pass the same checks and warns a week before the end. Ruled out: noticing changes by modification time, which a copy may keep; the contents are compared instead.

--- /dev/null
+++ b/internal/keys/files.go
@@ -0,0 +1,186 @@
+package keys
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/x509"
+	"encoding/pem"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+)
+
+// Names of files in the directories that this package writes.
+const (
+	CertificateFile = "cert.pem"
+	KeyFile         = "key.pem"
+	AuthorityFile   = "ca.pem"
+	// AuthorityKeyFile stays with the authority; VMs do not need it.
+	AuthorityKeyFile = "ca-key.pem"
+)
+
+const (
+	keyMode         fs.FileMode = 0o600
+	certificateMode fs.FileMode = 0o644
+	directoryMode   fs.FileMode = 0o700
+	othersMask      fs.FileMode = 0o077
+)
+
+// PEM block types.
+const (
+	certificateBlock = "CERTIFICATE"
+	keyBlock         = "PRIVATE KEY"
+	ecKeyBlock       = "EC PRIVATE KEY"
+	rsaKeyBlock      = "RSA PRIVATE KEY"
+)
+
+// Files are the paths of a VM's certificates.
+type Files struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// FilesIn returns the paths that Issue writes to a directory.
+func FilesIn(dir string) Files {
+	return Files{
+		Certificate: filepath.Join(dir, CertificateFile),
+		Key:         filepath.Join(dir, KeyFile),
+		Authority:   filepath.Join(dir, AuthorityFile),
+	}
+}
+
+// writeFile replaces a file in one step, so that a reader never sees half of it.
+func writeFile(path string, data []byte, mode fs.FileMode) error {
+	// The directory is created for the owner only, as it holds a key.
+	if err := os.MkdirAll(filepath.Dir(path), directoryMode); err != nil {
+		return newError(ErrWrite, "%v", err)
+	}
+	// os.CreateTemp creates with mode 0600, so a key is never open to others.
+	temp, err := os.CreateTemp(filepath.Dir(path), ".new-*")
+	if err != nil {
+		return newError(ErrWrite, "%v", err)
+	}
+	defer os.Remove(temp.Name())
+	if err := writeAndClose(temp, data, mode); err != nil {
+		return newError(ErrWrite, "%v", err)
+	}
+	if err := os.Rename(temp.Name(), path); err != nil {
+		return newError(ErrWrite, "%v", err)
+	}
+	return nil
+}
+
+func writeAndClose(f *os.File, data []byte, mode fs.FileMode) error {
+	_, writeErr := f.Write(data)
+	modeErr := f.Chmod(mode)
+	syncErr := f.Sync()
+	return errors.Trace(firstError(writeErr, modeErr, syncErr, f.Close()))
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readFile(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, newError(ErrRead, "%v", err)
+	}
+	return data, nil
+}
+
+// readKeyFile refuses a key that others than its owner can access.
+func readKeyFile(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, newError(ErrRead, "%v", err)
+	}
+	if info.Mode().Perm()&othersMask != 0 {
+		return nil, newError(ErrKeyMode, "%s has mode %04o", path, info.Mode().Perm())
+	}
+	return readFile(path)
+}
+
+func exists(path string) bool {
+	_, err := os.Lstat(path)
+	return !errors.Is(err, fs.ErrNotExist)
+}
+
+func encodeCertificate(der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: der})
+}
+
+func encodeKey(key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: der}), nil
+}
+
+// parseCertificates reads all certificates of a PEM file; there is at least one.
+func parseCertificates(path string, data []byte) ([]*x509.Certificate, error) {
+	var all []*x509.Certificate
+	for {
+		var block *pem.Block
+		block, data = pem.Decode(data)
+		if block == nil {
+			break
+		}
+		if block.Type != certificateBlock {
+			return nil, newError(ErrFormat, "%s holds a %s", path, block.Type)
+		}
+		cert, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, newError(ErrFormat, "%s: %v", path, err)
+		}
+		all = append(all, cert)
+	}
+	if len(all) == 0 {
+		return nil, newError(ErrFormat, "%s holds no certificate", path)
+	}
+	return all, nil
+}
+
+// parseKey accepts the keys that crypto/tls can use, as operators may have an authority of their own.
+func parseKey(path string, data []byte) (crypto.Signer, error) {
+	block, _ := pem.Decode(data)
+	if block == nil {
+		return nil, newError(ErrFormat, "%s holds no private key", path)
+	}
+	parsed, err := parseKeyBlock(block)
+	if err != nil {
+		return nil, newError(ErrFormat, "%s: %v", path, err)
+	}
+	key, ok := parsed.(crypto.Signer)
+	if !ok {
+		return nil, newError(ErrFormat, "%s holds a %T", path, parsed)
+	}
+	return key, nil
+}
+
+func parseKeyBlock(block *pem.Block) (any, error) {
+	switch block.Type {
+	case keyBlock:
+		return x509.ParsePKCS8PrivateKey(block.Bytes)
+	case ecKeyBlock:
+		return x509.ParseECPrivateKey(block.Bytes)
+	case rsaKeyBlock:
+		return x509.ParsePKCS1PrivateKey(block.Bytes)
+	}
+	return nil, errors.Errorf("holds a %s", block.Type)
+}
+
+// matches reports whether a key belongs to a certificate.
+func matches(key crypto.Signer, cert *x509.Certificate) bool {
+	public, ok := key.Public().(interface{ Equal(crypto.PublicKey) bool })
+	return ok && public.Equal(cert.PublicKey)
+}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,189 @@
+package keys
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/x509"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// issued returns the directories of a new authority and of a VM with a certificate.
+func issued(t *testing.T, name string, validity time.Duration) (authorityDir, dir string) {
+	t.Helper()
+	authorityDir, dir = t.TempDir(), t.TempDir()
+	if err := CreateAuthority(authorityDir, "test", 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := Issue(authorityDir, dir, name, validity, false); err != nil {
+		t.Fatal(err)
+	}
+	return authorityDir, dir
+}
+
+func kindOf(err error, kind error) bool { return errors.Is(err, kind) }
+
+// Guards against keys that others can read and against files that are overwritten by mistake.
+func TestCreate(t *testing.T) {
+	Convey("Given an authority and a VM's files", t, func() {
+		authorityDir, dir := issued(t, "vm-1", 0)
+		Convey("key files have mode 0600", func() {
+			for _, path := range []string{filepath.Join(authorityDir, AuthorityKeyFile), filepath.Join(dir, KeyFile)} {
+				info, err := os.Stat(path)
+				So(err, ShouldBeNil)
+				So(info.Mode().Perm(), ShouldEqual, keyMode)
+			}
+			entries, err := os.ReadDir(dir)
+			So(err, ShouldBeNil)
+			So(len(entries), ShouldEqual, 3)
+		})
+		Convey("nothing is overwritten unless it is renewed", func() {
+			So(kindOf(CreateAuthority(authorityDir, "test", 0), ErrExists), ShouldBeTrue)
+			So(kindOf(Issue(authorityDir, dir, "vm-1", 0, false), ErrExists), ShouldBeTrue)
+			So(Issue(authorityDir, dir, "vm-1", 0, true), ShouldBeNil)
+		})
+		Convey("names that no certificate can hold are refused", func() {
+			for _, name := range []string{"", "a b", "vm/1", "é", string(make([]byte, 64))} {
+				So(kindOf(Issue(authorityDir, t.TempDir(), name, 0, false), ErrBadName), ShouldBeTrue)
+			}
+		})
+		Convey("a certificate does not outlive its authority", func() {
+			short, vm := t.TempDir(), t.TempDir()
+			So(CreateAuthority(short, "test", time.Hour), ShouldBeNil)
+			So(Issue(short, vm, "vm-1", 0, false), ShouldBeNil)
+			s, err := Load(FilesIn(vm), "vm-1", quiet)
+			So(err, ShouldBeNil)
+			So(time.Until(s.NotAfter()), ShouldBeLessThanOrEqualTo, time.Hour)
+		})
+	})
+}
+
+// Guards against certificates that peers will refuse but that are accepted at start, and against
+// errors that do not say which mistake was made.
+func TestLoadRefuses(t *testing.T) {
+	authorityDir, dir := issued(t, "vm-1", 0)
+	_, otherDir := issued(t, "vm-1", 0)
+	_, expiredDir := issued(t, "vm-1", -time.Minute)
+	files, other := FilesIn(dir), FilesIn(otherDir)
+	text := filepath.Join(t.TempDir(), "text.pem")
+	open := filepath.Join(t.TempDir(), "open.pem")
+	key, _ := os.ReadFile(files.Key)
+	for path, data := range map[string][]byte{text: []byte("no pem"), open: key} {
+		if err := os.WriteFile(path, data, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	clientOnly := filepath.Join(t.TempDir(), "client.pem")
+	writeClientOnly(t, authorityDir, files, clientOnly)
+	cases := []struct {
+		what  string
+		files Files
+		name  string
+		kind  error
+	}{
+		{"a missing file", Files{files.Certificate, files.Key, "/nowhere"}, "vm-1", ErrRead},
+		{"text", Files{text, files.Key, files.Authority}, "vm-1", ErrFormat},
+		{"an open key", Files{files.Certificate, open, files.Authority}, "vm-1", ErrKeyMode},
+		{"another key", Files{files.Certificate, other.Key, files.Authority}, "vm-1", ErrKeyMismatch},
+		{"another authority", Files{files.Certificate, files.Key, other.Authority}, "vm-1", ErrAuthority},
+		{"no authority", Files{files.Certificate, files.Key, files.Certificate}, "vm-1", ErrFormat},
+		{"another name", files, "vm-2", ErrName},
+		{"an expired certificate", FilesIn(expiredDir), "vm-1", ErrExpired},
+		{"a certificate of clients", Files{clientOnly, files.Key, files.Authority}, "vm-1", ErrUsage},
+	}
+	Convey("Each mistake has its kind", t, func() {
+		for _, c := range cases {
+			_, err := Load(c.files, c.name, quiet)
+			if !kindOf(err, c.kind) {
+				t.Fatalf("%s: %v", c.what, err)
+			}
+		}
+		_, err := loadPair(files, "vm-1", time.Now().Add(-2*clockSkew))
+		So(kindOf(err, ErrNotYetValid), ShouldBeTrue)
+		_, err = Load(files, "vm-1", quiet)
+		So(err, ShouldBeNil)
+	})
+}
+
+// writeClientOnly writes a certificate for the VM's key that only allows clients.
+func writeClientOnly(t *testing.T, authorityDir string, files Files, path string) {
+	t.Helper()
+	a, err := loadAuthority(authorityDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyData, err := readKeyFile(files.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key, err := parseKey(files.Key, keyData)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template, err := newTemplate("vm-1", 0, DefaultValidity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template.DNSNames = []string{"vm-1"}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, key.Public(), a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := writeFile(path, encodeCertificate(der), certificateMode); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against renewed files that are not used, and against bad ones that replace good ones.
+func TestReload(t *testing.T) {
+	Convey("Given a loaded certificate", t, func() {
+		authorityDir, dir := issued(t, "vm-1", time.Hour)
+		log := &bytes.Buffer{}
+		s, err := Load(FilesIn(dir), "vm-1", slog.New(slog.NewTextHandler(log, nil)))
+		So(err, ShouldBeNil)
+		first := s.Certificate()
+		Convey("unchanged files change nothing", func() {
+			changed, err := s.Reload()
+			So(err, ShouldBeNil)
+			So(changed, ShouldBeFalse)
+		})
+		Convey("a key without its certificate is not used", func() {
+			_, otherDir := issued(t, "vm-1", 0)
+			data, err := os.ReadFile(filepath.Join(otherDir, KeyFile))
+			So(err, ShouldBeNil)
+			So(os.WriteFile(filepath.Join(dir, KeyFile), data, keyMode), ShouldBeNil)
+			_, err = s.Reload()
+			So(kindOf(err, ErrKeyMismatch), ShouldBeTrue)
+			So(s.Certificate(), ShouldEqual, first)
+		})
+		Convey("renewed files are used without a restart", func() {
+			So(Issue(authorityDir, dir, "vm-1", 0, true), ShouldBeNil)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { s.Watch(ctx, time.Millisecond); close(done) }()
+			for end := time.Now().Add(10 * time.Second); s.Certificate() == first && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+			<-done
+			So(time.Until(s.NotAfter()), ShouldBeGreaterThan, 24*time.Hour)
+			So(log.String(), ShouldContainSubstring, "certificate renewed")
+		})
+		Convey("a certificate that is about to expire is warned about once a day", func() {
+			w := watcher{store: s}
+			w.look(time.Now())
+			w.look(time.Now())
+			So(bytes.Count(log.Bytes(), []byte("expires soon")), ShouldEqual, 1)
+		})
+	})
+}
--- /dev/null
+++ b/internal/keys/store.go
@@ -0,0 +1,104 @@
+package keys
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"sync/atomic"
+	"time"
+)
+
+// DefaultReloadInterval is the time between two looks at the files.
+const DefaultReloadInterval = 30 * time.Second
+
+// expiryWarning is how long before its end a certificate is warned about. It leaves a working week
+// for the renewal.
+const expiryWarning = 7 * 24 * time.Hour
+
+// Store holds a VM's certificates and takes over renewed ones. Safe for concurrent use.
+type Store struct {
+	files   Files
+	name    string
+	log     *slog.Logger
+	current atomic.Pointer[pair]
+}
+
+// Load reads and checks the certificates of the named VM. Errors: ErrRead, ErrFormat, ErrKeyMode,
+// ErrKeyMismatch, ErrExpired, ErrNotYetValid, ErrName, ErrUsage, ErrAuthority.
+func Load(files Files, name string, log *slog.Logger) (*Store, error) {
+	p, err := loadPair(files, name, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{files: files, name: name, log: log}
+	s.current.Store(p)
+	return s, nil
+}
+
+// Certificate returns the VM's certificate and key.
+func (s *Store) Certificate() *tls.Certificate { return s.current.Load().cert }
+
+// Authorities returns the authorities that sign the certificates of peers.
+func (s *Store) Authorities() *x509.CertPool { return s.current.Load().authorities }
+
+// NotAfter returns when the certificate in use expires.
+func (s *Store) NotAfter() time.Time { return s.Certificate().Leaf.NotAfter }
+
+// Reload takes over the files if they changed and pass the checks of Load; otherwise the
+// certificates in use stay. It returns whether they changed. Errors are those of Load.
+func (s *Store) Reload() (bool, error) {
+	p, err := loadPair(s.files, s.name, time.Now())
+	if err != nil {
+		return false, err
+	}
+	if p.content == s.current.Load().content {
+		return false, nil
+	}
+	s.current.Store(p)
+	return true, nil
+}
+
+// Watch calls Reload at every interval until ctx ends; 0 means DefaultReloadInterval. It logs
+// changes, failures and, once a day, that the certificate is about to expire.
+func (s *Store) Watch(ctx context.Context, interval time.Duration) {
+	if interval == 0 {
+		interval = DefaultReloadInterval
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	w := watcher{store: s}
+	for {
+		w.look(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// watcher remembers what Watch has logged.
+type watcher struct {
+	store       *Store
+	lastFailure string
+	warnedAt    time.Time
+}
+
+func (w *watcher) look(now time.Time) {
+	changed, err := w.store.Reload()
+	switch {
+	case err != nil && err.Error() != w.lastFailure:
+		w.lastFailure = err.Error()
+		w.store.log.Error("certificate files not usable, the old ones stay in use", "error", err)
+	case err == nil:
+		w.lastFailure = ""
+	}
+	if changed {
+		w.store.log.Info("certificate renewed", "until", w.store.NotAfter())
+	}
+	if w.store.NotAfter().Sub(now) < expiryWarning && now.Sub(w.warnedAt) >= 24*time.Hour {
+		w.warnedAt = now
+		w.store.log.Warn("certificate expires soon, renew it with mangoweir keys", "until", w.store.NotAfter())
+	}
+}
