Renew feeds of lost holders and check the backup's duty

A killed holder took the registrations of its targets' feeds with it, so its callers saw a stalled feed. The ingress VM of a registration now remembers it and asks the next holder to renew it when the former holder is unreachable. A replaced holder that lives hands its feeds and waiting requests on. Asking all peers was ruled out: it costs control traffic for every flow, and feeds are few.

A backup is trusted only after it has served one holding for RequestLifetime. A holder that got a target by handover has records that its backup never saw, and these postings would have run again.

A clock jump is tracked per shard rather than read from the shared list of actions. Flows found at a former candidate are reported to the ingress VM. A target that returns to service starts cold.

--- a/core/traffic/backup.go
+++ b/core/traffic/backup.go
@@ -1,6 +1,10 @@
 package traffic
 
-import "github.com/mangoweir/mangoweir/core"
+import (
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
 
 // backupCopy holds the ids of the requests that another VM has started at a target.
 type backupCopy struct {
@@ -97,3 +101,46 @@
 		}
 	}
 }
+
+// backupDuty is the time for which this VM has been the backup of a target's holder.
+type backupDuty struct {
+	number core.HoldingNumber
+	since  time.Duration
+	// endedAt is when control last named this VM as the backup; 0 while it does.
+	endedAt time.Duration
+}
+
+// dutyMemory is the time for which the end of a duty is remembered: control may publish the change
+// of the holder before it orders the takeover.
+const dutyMemory = 5 * time.Second
+
+// noteBackupDuties follows for which targets this VM is the backup.
+func (s *Shard) noteBackupDuties() {
+	for id, v := range s.snap.Targets {
+		d, ok := s.duties[id]
+		switch {
+		case v.Backup == s.opts.Self && v.Holder != s.opts.Self:
+			if !ok || d.number != v.Number || d.endedAt != 0 {
+				s.duties[id] = backupDuty{number: v.Number, since: s.now}
+			}
+		case ok && d.endedAt == 0:
+			d.endedAt = s.now
+			s.duties[id] = d
+		}
+	}
+	for id, d := range s.duties {
+		if d.endedAt != 0 && s.now-d.endedAt > dutyMemory || s.snap.Targets[id] == nil {
+			delete(s.duties, id)
+		}
+	}
+}
+
+// wasBackup reports whether this VM has copies of all records of a target that are still alive. A
+// holder that got the target by handover has older records that were never sent to its backup.
+func (s *Shard) wasBackup(id core.TargetID) bool {
+	d, ok := s.duties[id]
+	if !ok || d.endedAt != 0 && s.now-d.endedAt > dutyMemory {
+		return false
+	}
+	return s.now-d.since >= core.RequestLifetime
+}
--- a/core/traffic/feed.go
+++ b/core/traffic/feed.go
@@ -252,18 +252,23 @@
 	s.retire(fd)
 	o.setFlow(flow, target, s.now)
 	o.moved.put(flow, s.now+core.RequestLifetime)
-	f := &core.ForwardRequest{
-		Request:    fd.req,
-		Target:     o.id,
+	s.event(core.EventFlowRedirected, target)
+	s.redirect(o, target, s.renewalFor(fd.req, o.id))
+	return true
+}
+
+// renewalFor returns the message that asks a target's holder to register a feed again.
+func (s *Shard) renewalFor(r core.Request, target core.TargetID) *core.ForwardRequest {
+	r.Deadline = core.MaxDeadline
+	return &core.ForwardRequest{
+		Request:    r,
+		Target:     target,
+		Known:      true,
 		Renewal:    true,
 		Ingress:    s.opts.Self,
 		Hops:       1,
 		Generation: s.snap.Config.Generation,
 	}
-	f.Request.Deadline = core.MaxDeadline
-	s.event(core.EventFlowRedirected, target)
-	s.redirect(o, target, f)
-	return true
 }
 
 // oldFeed is a feed that another VM or target has taken over. Its notifications are relayed until
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -247,16 +247,22 @@
 	for _, m := range h.outcomes {
 		s.send(o.to, m)
 	}
+	s.handOnAll(o, o.to, true)
+	s.forwardHeldBack(o)
+}
+
+// handOnAll forwards the requests that wait at a former holder. cleared is true when the new one
+// has all records.
+func (s *Shard) handOnAll(o *owner, to core.VMName, cleared bool) {
 	for _, r := range slices.Clone(o.live) {
-		if r.state != reqSent || r.requeued {
-			s.handOn(o, r)
+		if r.state != reqSent {
+			s.handOn(o, r, to, cleared)
 		}
 	}
-	s.forwardHeldBack(o)
 }
 
 // handOn forwards a request that was not sent to the new holder.
-func (s *Shard) handOn(o *owner, r *request) {
+func (s *Shard) handOn(o *owner, r *request, to core.VMName, cleared bool) {
 	s.finish(o, r)
 	delete(o.records.m, r.key)
 	if r.renewal {
@@ -264,7 +270,8 @@
 	}
 	f := r.forward(s)
 	f.Target = o.id
-	s.send(o.to, f)
+	f.Cleared = f.Cleared && cleared
+	s.send(to, f)
 }
 
 // forwardHeldBack sends the requests that arrived during the handover to the new holder.
@@ -307,7 +314,7 @@
 	}
 	s.send(o.to, m)
 	if r.requeued {
-		s.handOn(o, r)
+		s.handOn(o, r, o.to, true)
 	}
 }
 
--- a/core/traffic/handover_test.go
+++ b/core/traffic/handover_test.go
@@ -181,6 +181,59 @@
 	})
 }
 
+// Guards against feeds that stall when their holder dies or is replaced without a handover.
+func TestLostHolder(t *testing.T) {
+	Convey("Given a feed that was registered through another VM than the holder", t, func() {
+		f := newFleet(t, 2, 1)
+		f.warm()
+		f.request("b", subscribe(1, 1))
+		f.verdict(f.last(), core.AnswerNotification, "")
+		f.publish()
+		f.sent, f.answers = nil, nil
+		replace := func() {
+			f.in("b", core.TakeOver{Target: 1, Number: 2, FormerDiedBy: f.now})
+			f.views[1].Holder, f.views[1].Number = "b", 2
+			f.publishTo("b")
+		}
+		renewed := func() {
+			So(f.requests(), ShouldHaveLength, 1)
+			So(f.last().Request.Method, ShouldEqual, core.MethodSubscribe)
+			f.verdict(f.last(), core.AnswerNotification, "x")
+			So(f.answers, ShouldHaveLength, 1)
+			So(f.answers[0].Notification, ShouldBeTrue)
+		}
+		Convey("the next holder renews it after a crash", func() {
+			f.cut["a"] = true
+			f.in("b", core.LinkEvent{Peer: "a", State: core.LinkRefused})
+			replace()
+			renewed()
+		})
+		Convey("the next holder renews it when the loss of the link is noticed later", func() {
+			f.cut["a"] = true
+			replace()
+			f.tick(time.Second)
+			f.in("b", core.LinkEvent{Peer: "a", State: core.LinkDown})
+			renewed()
+		})
+		Convey("a feed that the caller has ended is not renewed", func() {
+			r := subscribe(1, 2)
+			r.Method = core.MethodUnsubscribe
+			f.request("b", r)
+			f.verdict(f.last(), core.AnswerOK, "")
+			f.sent = nil
+			f.in("b", core.LinkEvent{Peer: "a", State: core.LinkRefused})
+			replace()
+			So(f.requests(), ShouldBeEmpty)
+		})
+		Convey("a holder that lives hands its feeds on when it is replaced", func() {
+			f.vms["b"].watches = newWatches()
+			replace()
+			f.in("a", core.Drop{Target: 1, Holder: "b", Number: 2})
+			renewed()
+		})
+	})
+}
+
 // Guards against feeds that stall when their target leaves service, and packets to that target.
 func TestZoneOut(t *testing.T) {
 	Convey("Given feeds and records on a target whose zone is taken out", t, func() {
--- a/core/traffic/limit.go
+++ b/core/traffic/limit.go
@@ -23,8 +23,9 @@
 	errors int
 	// saysCold is the target's own statement in its newest answer.
 	saysCold bool
-	draining bool
-	boot     uint64
+	// saysDraining is the target's statement in its newest answer, probeDraining that of its probe.
+	saysDraining, probeDraining bool
+	boot                        uint64
 	// silent counts failed probes in a row.
 	silent int
 	// service is a moving average of the time that an attempt takes.
@@ -121,6 +122,9 @@
 	return r.setCold(now)
 }
 
+// draining reports whether the target says in any way that it leaves.
+func (r *ramp) draining() bool { return r.saysDraining || r.probeDraining }
+
 // serviceTime estimates how long an attempt takes.
 func (r *ramp) serviceTime() time.Duration {
 	if r.service == 0 {
@@ -133,7 +137,7 @@
 func (r *ramp) onReport(l *core.LoadReport, answer bool, now time.Duration) bool {
 	if answer {
 		r.saysCold = l.Cold
-		r.draining = l.Draining
+		r.saysDraining = l.Draining
 	}
 	if l.Slots > 0 && (answer || r.errors == 0) {
 		r.reported = int(l.Slots)
@@ -166,7 +170,7 @@
 	}
 	if p.OK && p.Load != nil {
 		cold = r.onReport(p.Load, false, s.now) || cold
-		r.draining = r.draining || p.Load.Draining
+		r.probeDraining = p.Load.Draining
 	}
 	s.coldEvent(o, cold)
 }
--- a/core/traffic/once_test.go
+++ b/core/traffic/once_test.go
@@ -115,6 +115,7 @@
 		f.warm()
 		f.views[1].Backup = "b"
 		f.publish()
+		f.tick(core.RequestLifetime)
 		f.hold = func(_ core.VMName, m core.Message) bool {
 			_, ok := m.(*core.RecordAck)
 			return ok
@@ -160,6 +161,22 @@
 			So(f.refusals[0].Reason, ShouldEqual, core.ReasonBackup)
 		})
 	})
+	Convey("Given a backup that is younger than the holder's records, postings are unknown", t, func() {
+		f := newFleet(t, 2, 1)
+		f.warm()
+		f.request("a", posting(1, 1))
+		f.views[1].Backup = "b"
+		f.publish()
+		f.cut["a"] = true
+		f.in("b", core.TakeOver{Target: 1, Number: 2, FormerDiedBy: f.now, BackupInSync: true})
+		f.views[1].Holder = "b"
+		f.publishTo("b")
+		f.tick(refusalMemory + time.Second)
+		f.request("b", posting(1, 1))
+		f.tick(queryWait)
+		So(f.requests(), ShouldHaveLength, 1)
+		So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+	})
 	Convey("Given a takeover without handover, postings are unknown for the quarantine", t, func() {
 		f := newFleet(t, 1, 1)
 		f.in("a", core.Drop{Target: 1, Holder: "x", Number: 2})
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -77,10 +77,16 @@
 
 // applyView takes over what a new snapshot says about the target.
 func (s *Shard) applyView(o *owner) {
+	out := o.view != nil && o.evicted(s.now)
 	o.view = s.view(o.id)
 	if o.view == nil {
 		return
 	}
+	if out && !o.evicted(s.now) {
+		// A target that returns to service is cold.
+		o.ramp.setCold(s.now)
+		s.event(core.EventTargetCold, o.id)
+	}
 	o.number = max(o.number, s.ownNumber(o))
 	if sv := s.snap.Services[o.view.Target.Service]; sv != nil {
 		o.contract = sv.Service.Contract
@@ -96,7 +102,8 @@
 }
 
 func (s *Shard) install(o *owner) {
-	if old := s.owners[o.id]; old != nil {
+	old := s.owners[o.id]
+	if old != nil {
 		s.uninstall(old)
 	}
 	s.owners[o.id] = o
@@ -104,6 +111,9 @@
 	slices.SortFunc(s.ordered, func(a, b *owner) int { return int(int64(a.id) - int64(b.id)) })
 	s.drained = false
 	s.emit(core.HolderChanged{Target: o.id, Holder: s.opts.Self, Number: o.number})
+	if old != nil {
+		s.handOnAll(old, s.opts.Self, false)
+	}
 }
 
 // uninstall ends the holding of a target. Attempts in flight are finished by the former owner.
@@ -130,7 +140,7 @@
 	if !t.First {
 		last := max(t.FormerUntil, t.FormerDiedBy)
 		o.quarantineUntil = last + core.RequestLifetime
-		if t.BackupInSync {
+		if t.BackupInSync && s.wasBackup(t.Target) {
 			// Refusals of the former holder are not in the backup's copy: repetitions that crossed
 			// them arrive for as long as refusals are remembered.
 			o.quarantineUntil = last + refusalMemory
@@ -151,15 +161,20 @@
 	if o == nil || d.Number <= o.number {
 		return
 	}
+	if h := o.handover; h != nil && h.to == d.Holder && h.number <= d.Number {
+		s.completeHandover(o)
+		return
+	}
 	s.uninstall(o)
-	// The new holder did not get this VM's records, so nothing can be said about what waits here.
+	// The new holder did not get this VM's records, so nothing can be said about what ends here.
 	o.quarantineUntil = s.now + core.RequestLifetime
-	for _, r := range slices.Clone(o.live) {
-		if r.state != reqSent {
-			s.refuseRequest(o, r, core.ReasonOwnerUnreachable)
+	s.emit(core.HolderChanged{Target: o.id, Holder: d.Holder, Number: d.Number})
+	s.handOnAll(o, d.Holder, false)
+	for _, fd := range o.feeds.order {
+		if !fd.ended {
+			s.send(d.Holder, s.renewalFor(fd.req, o.id))
 		}
 	}
-	s.emit(core.HolderChanged{Target: o.id, Holder: d.Holder, Number: d.Number})
 }
 
 // evicted reports whether the target gets no packets any more, not even of its flows.
@@ -251,7 +266,7 @@
 		Limit:    uint16(o.ramp.limit),
 		Queued:   uint16(o.queue.len()),
 		Cold:     o.ramp.cold,
-		Leaving:  o.ramp.draining,
+		Leaving:  o.ramp.draining(),
 	}
 	if load == o.reported || s.now-o.reportedAt < loadInterval {
 		return
--- a/core/traffic/park.go
+++ b/core/traffic/park.go
@@ -27,6 +27,9 @@
 		s.refuseForward(f, core.ReasonOwnerUnreachable)
 		return
 	}
+	if f.Renewal {
+		wait = left
+	}
 	s.parked = append(s.parked, parkedRequest{f, s.now, s.now + min(wait, left)})
 }
 
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -94,9 +94,6 @@
 	}
 	if target == o.id {
 		s.event(core.EventFlowPlaced, target)
-		if f.Hops > 1 {
-			s.send(f.Ingress, &core.FlowLearned{Flow: flow, Target: target})
-		}
 	} else {
 		s.event(core.EventFlowRedirected, target)
 	}
@@ -168,7 +165,7 @@
 
 // accepts reports whether the target takes new flows.
 func (s *Shard) accepts(o *owner) bool {
-	return o.view != nil && o.view.Accepts(s.now) && !o.ramp.draining
+	return o.view != nil && o.view.Accepts(s.now) && !o.ramp.draining()
 }
 
 // share is a target's part of a service's flows.
@@ -196,7 +193,7 @@
 	}
 	flows, limit := int(v.Load.Flows), int(v.Load.Limit)
 	if o := s.owners[id]; o != nil {
-		if o.ramp.draining {
+		if o.ramp.draining() {
 			return share{id: id}
 		}
 		flows, limit = o.placed(), o.ramp.limit
--- a/core/traffic/refusal.go
+++ b/core/traffic/refusal.go
@@ -109,6 +109,8 @@
 		d = s.clearTime(o)
 	case core.ReasonQuarantine:
 		d = max(o.quarantineUntil-s.now, unreachableComeBack)
+	case core.ReasonNoAuthority:
+		d = max(o.formerUntil-s.now, unreachableComeBack)
 	case core.ReasonBackup, core.ReasonCancelled:
 		d = minComeBack
 	}
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -83,6 +83,9 @@
 		s.redirect(o, e.target, f)
 		return
 	}
+	if !f.Known && (len(f.Trail) > 0 || f.Hops > 1) {
+		s.send(f.Ingress, &core.FlowLearned{Flow: r.Flow, Target: o.id})
+	}
 	if f.Moved {
 		o.unsure.put(r.Flow, s.now+core.RequestLifetime)
 	}
--- a/core/traffic/routing.go
+++ b/core/traffic/routing.go
@@ -159,6 +159,7 @@
 		return
 	}
 	f.Generation = s.snap.Config.Generation
+	s.watch(&r)
 	if e := s.notes.get(&r.Flow); e != nil && s.view(e.target) != nil {
 		e.use(s.now)
 		f.Target = e.target
@@ -246,7 +247,7 @@
 // sweepNotes removes the notes of some idle flows.
 func (s *Shard) sweepNotes() {
 	s.notes.sweep(sweepPerTick, func(e *flowEntry) {
-		if e.idle(s.now) > core.FlowIdle {
+		if e.idle(s.now) > core.FlowIdle && s.watches.m[e.key] == nil {
 			k := e.key
 			s.notes.remove(&k)
 		}
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -34,7 +34,9 @@
 	now     time.Duration
 	out     []core.Action
 	running bool
-	// lapsed is true from a clock jump until the next snapshot.
+	// jumped is true while the first input after a pause of the process is handled; lapsed is true
+	// from then until the next snapshot.
+	jumped  bool
 	lapsed  bool
 	stopped bool
 	drained bool
@@ -53,6 +55,8 @@
 	oldFeeds  []oldFeed
 	marks     marks
 	backups   map[core.TargetID]*backupCopy
+	duties    map[core.TargetID]backupDuty
+	watches   watches
 	incoming  map[core.TargetID]*handoverIn
 	queries   queries
 	// answerBytes is the size of the stored answers of all records.
@@ -74,6 +78,8 @@
 		feeds:     map[core.AttemptToken]*feed{},
 		marks:     newMarks(),
 		backups:   map[core.TargetID]*backupCopy{},
+		duties:    map[core.TargetID]backupDuty{},
+		watches:   newWatches(),
 		incoming:  map[core.TargetID]*handoverIn{},
 		queries:   newQueries(),
 	}
@@ -92,9 +98,9 @@
 
 // advance sets the current time and detects that the process was paused.
 func (s *Shard) advance(now time.Duration) {
-	if !s.running {
-		s.running = true
-	} else if now-s.now > core.ClockJump {
+	s.jumped = s.running && now-s.now > core.ClockJump
+	s.running = true
+	if s.jumped {
 		s.lapsed = true
 		s.emit(core.Event{Kind: core.EventClockJump, VM: s.opts.Self})
 	}
@@ -158,25 +164,19 @@
 // onSnapshot installs a snapshot and reconsiders everything that waits for one.
 func (s *Shard) onSnapshot(snap *core.Snapshot) {
 	// A snapshot that arrives as the first input after a pause may be older than the pause.
-	jumped := len(s.out) > 0 && isClockJump(s.out[len(s.out)-1])
-	if !jumped {
-		s.lapsed = false
-	}
+	s.lapsed = s.jumped
 	s.snap = snap
 	s.refreshSets()
+	s.noteBackupDuties()
 	for _, o := range s.ordered {
 		s.applyView(o)
 	}
 	s.confirmHandovers()
+	s.followHolders()
 	s.retryParked()
 	s.pumpAll()
 }
 
-func isClockJump(a core.Action) bool {
-	e, ok := a.(core.Event)
-	return ok && e.Kind == core.EventClockJump
-}
-
 // onLink notes which peers cannot be reached.
 func (s *Shard) onLink(e core.LinkEvent) {
 	if e.State == core.LinkUp {
@@ -187,6 +187,7 @@
 	if e.State == core.LinkRefused {
 		s.abortHandovers(e.Peer)
 	}
+	s.followHolders()
 	s.retryParked()
 }
 
@@ -208,6 +209,7 @@
 	s.expireOldFeeds()
 	s.expireBackups()
 	s.expireIncoming()
+	s.watches.expire(s.now)
 	s.marks.expire(s.now)
 	s.sweepNotes()
 	s.pumpAll()
