Run an entry VM as a process: serve, HTTP port, status

Cause: the decision core, carrier, links and platform client had no process. Change: internal/daemon connects them with one control goroutine and one per traffic shard; serve, drains on SIGTERM; /metrics, /healthz, /readyz, /v1/status.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -150,7 +150,7 @@
 	case *core.MembersPush:
 		c.onMembersPush(m)
 	case *core.StatusPull:
-		c.send(in.From, &core.StatusPush{VMs: c.zoneStatus()})
+		c.send(in.From, &core.StatusPush{VMs: c.knownStatus()})
 	}
 }
 
--- a/core/control/status.go
+++ b/core/control/status.go
@@ -42,11 +42,16 @@
 
 // zoneStatus returns what this VM knows about the VMs of its zone, in name order.
 func (c *Control) zoneStatus() []core.VMStatus {
+	return slices.DeleteFunc(c.knownStatus(), func(s core.VMStatus) bool { return s.Zone != c.opts.Zone })
+}
+
+// knownStatus returns what this VM knows about itself and the VMs it has heard, in name order.
+func (c *Control) knownStatus() []core.VMStatus {
 	vms := []core.VMStatus{{
 		Name: c.opts.Self, Zone: c.opts.Zone, Generation: c.generation(), State: c.ownState(),
 	}}
 	c.peers.all(func(name core.VMName, p *peer) bool {
-		if p.zone != c.opts.Zone || !p.heard() {
+		if !p.heard() {
 			return true
 		}
 		vms = append(vms, core.VMStatus{
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,6 +27,7 @@
 // commands returns all commands in the order of the help text.
 func (a *app) commands() []*cobra.Command {
 	return []*cobra.Command{
+		a.newServe(),
 		a.newCheck(),
 		a.newApply(),
 		a.newGet(),
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,248 @@
+package daemon
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/control"
+	"github.com/mangoweir/mangoweir/internal/contract"
+	"github.com/mangoweir/mangoweir/internal/link"
+	"github.com/mangoweir/mangoweir/internal/platform"
+	"github.com/mangoweir/mangoweir/internal/settings"
+)
+
+// Options configures a Daemon. Settings and Log are required.
+type Options struct {
+	Settings *settings.Settings
+	Log      *slog.Logger
+	// Credentials turn on mutual TLS on peer links; nil means plain TCP.
+	Credentials link.Credentials
+}
+
+// Daemon is a running entry VM.
+type Daemon struct {
+	opts     Options
+	runtime  *runtime
+	ports    *ports
+	platform *platformPort
+	links    *link.Manager
+	report   *reporter
+	http     *httpServer
+	status   statusCalls
+	set      *metrics.Set
+	snapshot atomic.Pointer[core.Snapshot]
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	// linksReady is closed once links can be used; peers may connect before Start returns.
+	linksReady chan struct{}
+	drained    chan struct{}
+	drainOnce  sync.Once
+	closeOnce  sync.Once
+}
+
+// Start opens the VM's ports and starts its threads. The VM serves callers as soon as it has a
+// configuration and peers.
+func Start(opts Options) (*Daemon, error) {
+	st := opts.Settings
+	d := &Daemon{opts: opts, set: metrics.NewSet(), drained: make(chan struct{}),
+		linksReady: make(chan struct{})}
+	d.report = newReporter(d.set, opts.Log)
+	var err error
+	if d.ports, err = newPorts(st.Listen.Fabric, st.Listen.Targets, st.FabricReturn); err != nil {
+		return nil, errors.Annotate(err, "open the ports for fabric and targets; check listen in the settings")
+	}
+	client, err := platform.NewClient(st.Platform.URL, platform.Options{
+		Timeout: time.Duration(st.Platform.Timeout), Rate: st.Platform.Rate,
+	})
+	if err != nil {
+		d.ports.close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	if d.links, err = link.Start(link.Config{
+		Name: st.Name, Zone: st.Zone, Incarnation: incarnation(time.Now()), Listen: st.Listen.Peers,
+		Credentials: opts.Credentials, OnMessage: d.fromPeer, OnLink: d.fromLink,
+		Log: opts.Log.With("part", "link"),
+	}); err != nil {
+		cancel()
+		d.ports.close()
+		return nil, err
+	}
+	d.start(ctx, client)
+	if d.http, err = startHTTP(st.Listen.HTTP, d, client); err != nil {
+		d.Kill()
+		return nil, errors.Annotate(err, "open the HTTP port; check listen.http in the settings")
+	}
+	opts.Log.Info("Entry VM started.", "part", "daemon", "vm", st.Name, "zone", st.Zone,
+		"fabric", d.FabricAddr(), "peers", d.links.Addr(), "http", d.HTTPAddr())
+	return d, nil
+}
+
+// start connects the parts and starts the threads.
+func (d *Daemon) start(ctx context.Context, client *platform.Client) {
+	st := d.opts.Settings
+	d.runtime = newRuntime(control.Options{
+		Self: st.Name, Zone: st.Zone, Addr: d.links.Addr(), Incarnation: incarnation(time.Now()),
+		Seeds: seeds(st), Decode: contract.Decode, Seed: seed(st.Name),
+	}, max(st.TrafficThreads, 1), d)
+	d.runtime.published = &d.snapshot
+	d.ports.snapshot, d.ports.post = &d.snapshot, d.runtime.post
+	d.ports.report, d.ports.hops = d.report, &hops{}
+	d.platform = &platformPort{client: client, zone: st.Zone, runtime: d.runtime,
+		snapshot: d.snapshot.Load, ctx: ctx}
+	close(d.linksReady)
+	d.ports.serve(ctx, &d.wg)
+	d.wg.Go(func() { d.ports.probe(ctx) })
+	d.wg.Go(func() { d.runtime.tick(ctx) })
+}
+
+// incarnation returns a number that grows with each process of a VM: tenths of seconds since the
+// start of 2026, which fit for 13 years.
+func incarnation(now time.Time) core.Incarnation {
+	base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	return core.Incarnation(now.Sub(base) / (100 * time.Millisecond))
+}
+
+// seed derives the seed of a VM's jitter from its name, so that VMs differ.
+func seed(name core.VMName) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// seeds converts the peers named in the settings.
+func seeds(st *settings.Settings) []core.ListedVM {
+	var list []core.ListedVM
+	for _, s := range st.Seeds {
+		if s.Name != st.Name {
+			list = append(list, core.ListedVM{Name: s.Name, Zone: s.Zone, Addr: s.Address})
+		}
+	}
+	return list
+}
+
+// fromPeer hands a peer's message to the core.
+func (d *Daemon) fromPeer(m core.PeerMessage) {
+	<-d.linksReady
+	if !d.runtime.post(m) {
+		d.report.dropped("mailbox_full")
+	}
+}
+
+// fromLink hands the change of a link to the core.
+func (d *Daemon) fromLink(e core.LinkEvent) {
+	<-d.linksReady
+	d.runtime.post(e)
+}
+
+// perform carries out an action of the core. It does not block.
+func (d *Daemon) perform(a core.Action) {
+	switch a := a.(type) {
+	case core.SendTarget:
+		d.ports.sendTarget(a)
+	case core.AnswerCaller:
+		d.ports.answerCaller(a)
+	case core.RefuseCaller:
+		d.ports.refuseCaller(a)
+	case core.SendPeer:
+		d.sendPeer(a)
+	case core.Dial:
+		d.links.Dial(a.Peer, a.Addr)
+	case core.Hangup:
+		d.links.Hangup(a.Peer)
+	case core.Event:
+		d.report.event(a, d.targetName(a.Target))
+	case core.Drained:
+		d.drainOnce.Do(func() { close(d.drained) })
+	default:
+		d.platform.perform(a)
+	}
+}
+
+// sendPeer sends a message to a peer. A message to no peer answers an operator.
+func (d *Daemon) sendPeer(a core.SendPeer) {
+	if push, ok := a.Msg.(*core.StatusPush); ok && a.To == "" {
+		d.status.deliver(push.VMs)
+		return
+	}
+	if f, ok := a.Msg.(*core.ForwardRequest); ok {
+		d.ports.hops.forward(f)
+	}
+	d.links.Send(a.To, a.Msg)
+}
+
+// targetName returns the name of a target for logs.
+func (d *Daemon) targetName(id core.TargetID) string {
+	snap := d.snapshot.Load()
+	if id == 0 || snap == nil || snap.Targets[id] == nil {
+		return ""
+	}
+	return snap.Targets[id].Target.Name
+}
+
+// Name returns the VM's name.
+func (d *Daemon) Name() string { return string(d.opts.Settings.Name) }
+
+// FabricAddr returns the address that the fabric hands packets to.
+func (d *Daemon) FabricAddr() netip.AddrPort { return d.ports.fabric.Addr() }
+
+// PeerAddr returns the address of the peer port.
+func (d *Daemon) PeerAddr() netip.AddrPort { return d.links.Addr() }
+
+// HTTPAddr returns the address of metrics, health and status.
+func (d *Daemon) HTTPAddr() netip.AddrPort { return d.http.addr }
+
+// Ready reports whether the VM has a configuration and knows a holder for each target in service.
+func (d *Daemon) Ready() bool {
+	snap := d.snapshot.Load()
+	if snap == nil || snap.Config == nil {
+		return false
+	}
+	for _, t := range snap.Targets {
+		if t.Holder == "" && !t.Removed && !t.ZoneOut {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop makes a planned stop: the VM hands over its targets, finishes what is in flight and ends. It
+// returns early with the context's error; the VM has ended then too.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.opts.Log.Info("Planned stop started.", "part", "daemon")
+	d.runtime.post(core.Stop{})
+	var err error
+	select {
+	case <-d.drained:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	d.Kill()
+	d.opts.Log.Info("Entry VM stopped.", "part", "daemon", "drained", err == nil)
+	return err
+}
+
+// Kill ends the VM at once.
+func (d *Daemon) Kill() {
+	d.closeOnce.Do(func() {
+		d.cancel()
+		if d.http != nil {
+			d.http.close()
+		}
+		d.ports.close()
+		d.links.Close()
+		d.runtime.close()
+		d.platform.wg.Wait()
+		d.wg.Wait()
+	})
+}
--- a/internal/daemon/runtime.go
+++ b/internal/daemon/runtime.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -32,7 +33,9 @@
 	control *mailbox
 	shards  []*mailbox
 	out     performer
-	wg      sync.WaitGroup
+	// published gets the newest snapshot, for adapters.
+	published *atomic.Pointer[core.Snapshot]
+	wg        sync.WaitGroup
 }
 
 // newRuntime starts the goroutines of a VM's core.
@@ -81,6 +84,9 @@
 
 // act delivers an action inside the VM or hands it to the performer.
 func (r *runtime) act(a core.Action) {
+	if p, ok := a.(core.PublishSnapshot); ok {
+		r.published.Store(p.Snapshot)
+	}
 	in := vm.Internal(a, r.self)
 	if in == nil {
 		r.out.perform(a)
