--- a/internal/coretest/world.go
+++ b/internal/coretest/world.go
@@ -38,6 +38,8 @@
 	DropRate, DuplicateRate, LateRate float64
 	// Shards is the number of traffic shards per VM; default 1.
 	Shards int
+	// NewVM makes the decision core of a VM; default the real one. Measurements compare others.
+	NewVM func(vm.Options) Handler
 	// Trace gets a line for every input and action that concerns the flow of caller number
 	// TraceCaller, and for every event of control when TraceEvents is set.
 	Trace       func(line string)
@@ -45,6 +47,11 @@
 	TraceEvents bool
 }
 
+// Handler is the decision core of one VM.
+type Handler interface {
+	Handle(in core.Input, now time.Duration) []core.Action
+}
+
 // World is a deployment in virtual time.
 type World struct {
 	Opts     Options
@@ -67,7 +74,7 @@
 // machine is an entry VM with its process.
 type machine struct {
 	info    core.ListedVM
-	core    *vm.VM
+	core    Handler
 	inc     core.Incarnation
 	alive   bool
 	paused  bool
@@ -113,6 +120,9 @@
 
 // New returns a World without VMs; the platform holds no manifest yet.
 func New(opts Options) *World {
+	if opts.NewVM == nil {
+		opts.NewVM = func(o vm.Options) Handler { return vm.New(o) }
+	}
 	w := &World{
 		Opts:    opts,
 		Rand:    rand.New(rand.NewPCG(opts.Seed, 1)),
@@ -163,7 +173,7 @@
 	m.alive, m.paused, m.drained, m.silent = true, false, false, false
 	m.queued, m.gen = nil, 0
 	m.dials, m.links = map[core.VMName]bool{}, map[core.VMName]bool{}
-	m.core = vm.New(vm.Options{Shards: w.Opts.Shards, Control: control.Options{
+	m.core = w.Opts.NewVM(vm.Options{Shards: w.Opts.Shards, Control: control.Options{
 		Self: name, Zone: zone, Addr: m.info.Addr, Incarnation: m.inc, Seeds: w.seeds(name),
 		Decode: w.Platform.decode, Seed: w.Opts.Seed + uint64(len(w.order)),
 	}})
