Close the platform stand-in's listener at once

http.Server.Close does not close a listener that Serve has not registered yet. A test that closed the stand-in right after starting it could still connect, and saw an unknown outcome instead of an unavailable platform: 1 of 30 runs failed. A longer wait in the test was ruled out, since the fault is in Close, which now closes the listener itself.

A test shows that writes are not redirected.

--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -83,6 +83,14 @@
 		So(err, ShouldBeNil)
 		So(heads, ShouldResemble, []api.Head{{Key: "config/none"}, {Key: "config/entry", Version: 3}})
 	})
+	Convey("A write is not redirected to another place", t, func() {
+		url := "http://" + s.listener.Addr().String() + api.ObjectsPath + "redirected"
+		elsewhere := httptest.NewServer(http.RedirectHandler(url, http.StatusTemporaryRedirect))
+		defer elsewhere.Close()
+		_, err := client(t, elsewhere.URL, api.Options{}).Put(ctx, "k", []byte("v"), 0)
+		So(err, ShouldNotBeNil)
+		So(s.Object("redirected").Version, ShouldEqual, 0)
+	})
 	Convey("A value beyond the limit is refused by the server as well", t, func() {
 		r := httptest.NewRequest("PUT", api.ObjectsPath+"a", bytes.NewReader(make([]byte, api.MaxValue+1)))
 		w := httptest.NewRecorder()
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -85,7 +85,10 @@
 	if s.http == nil {
 		return nil
 	}
-	return s.http.Close()
+	err := s.http.Close()
+	// The http server does not know the listener yet when Close follows Start at once.
+	_ = s.listener.Close()
+	return err
 }
 
 // Object returns an object; version 0 means that it does not exist.
