telemetry: set up logs, metrics, health and traces

Cause: the daemon needs one place that sets up what operators observe. Change: slog as text or JSON with a prefix per part; a metrics set with /metrics, /healthz and /readyz; OpenTelemetry traces to a file or an OTLP endpoint, off by default; conversion between core.TraceContext and span contexts; a span per hop, and contexts that pass through a VM without traces. Ruled out: the global metrics set and the global OpenTelemetry provider and error handler, as demo and tests run several daemons in one process.

--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,67 @@
+package telemetry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+)
+
+// LogFormat is the form of log lines.
+type LogFormat string
+
+// Formats of log lines.
+const (
+	LogText LogFormat = "text"
+	LogJSON LogFormat = "json"
+)
+
+// LogSettings are the settings of logs.
+type LogSettings struct {
+	// Format defaults to LogText.
+	Format LogFormat
+	// Level is debug, info, warn or error; default info.
+	Level string
+}
+
+// NewLogger returns a logger that writes to w. Errors: ErrLogSettings.
+func NewLogger(w io.Writer, settings LogSettings) (*slog.Logger, error) {
+	var level slog.Level
+	if settings.Level != "" {
+		if err := level.UnmarshalText([]byte(settings.Level)); err != nil {
+			return nil, newError(ErrLogSettings, "level %q", settings.Level)
+		}
+	}
+	options := &slog.HandlerOptions{Level: level}
+	switch settings.Format {
+	case LogText, "":
+		return slog.New(slog.NewTextHandler(w, options)), nil
+	case LogJSON:
+		return slog.New(slog.NewJSONHandler(w, options)), nil
+	}
+	return nil, newError(ErrLogSettings, "format %q", settings.Format)
+}
+
+// Part returns a logger for a part of the system, such as "link". Its messages begin with the part's
+// name and a colon.
+func Part(log *slog.Logger, name string) *slog.Logger {
+	return slog.New(&partHandler{Handler: log.Handler(), prefix: name + ": "})
+}
+
+// partHandler puts a prefix in front of messages.
+type partHandler struct {
+	slog.Handler
+	prefix string
+}
+
+func (h *partHandler) Handle(ctx context.Context, r slog.Record) error {
+	r.Message = h.prefix + r.Message
+	return h.Handler.Handle(ctx, r)
+}
+
+func (h *partHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &partHandler{Handler: h.Handler.WithAttrs(attrs), prefix: h.prefix}
+}
+
+func (h *partHandler) WithGroup(name string) slog.Handler {
+	return &partHandler{Handler: h.Handler.WithGroup(name), prefix: h.prefix}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,221 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/mangoweir/mangoweir/core"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against lines without their part's prefix, a wrong format or a level that is ignored.
+func TestLogger(t *testing.T) {
+	Convey("Lines carry prefix, attributes and level", t, func() {
+		out := &bytes.Buffer{}
+		log, err := NewLogger(out, LogSettings{Format: LogJSON, Level: "warn"})
+		So(err, ShouldBeNil)
+		part := Part(log, "link").With("peer", "vm-1").WithGroup("g")
+		part.Info("hidden")
+		part.Warn("lost", "n", 2)
+		var line map[string]any
+		So(json.Unmarshal(out.Bytes(), &line), ShouldBeNil)
+		So(line["msg"], ShouldEqual, "link: lost")
+		So(line["peer"], ShouldEqual, "vm-1")
+		So(line["g"], ShouldResemble, map[string]any{"n": 2.0})
+	})
+	Convey("Text at level info is the default", t, func() {
+		out := &bytes.Buffer{}
+		log, err := NewLogger(out, LogSettings{})
+		So(err, ShouldBeNil)
+		log.Debug("hidden")
+		Part(log, "wire").Info("shown")
+		So(out.String(), ShouldContainSubstring, `level=INFO msg="wire: shown"`)
+		So(out.String(), ShouldNotContainSubstring, "hidden")
+	})
+	Convey("Unknown settings are refused", t, func() {
+		_, err := NewLogger(io.Discard, LogSettings{Format: "xml"})
+		So(errors.Is(err, ErrLogSettings), ShouldBeTrue)
+		_, err = NewLogger(io.Discard, LogSettings{Level: "loud"})
+		So(errors.Is(err, ErrLogSettings), ShouldBeTrue)
+	})
+}
+
+// Guards against bad input that floods the log, and against kinds that hide each other.
+func TestLimitedLogger(t *testing.T) {
+	Convey("One line per second and kind, with the number of suppressed ones", t, func() {
+		out := &bytes.Buffer{}
+		log, err := NewLogger(out, LogSettings{})
+		So(err, ShouldBeNil)
+		l := NewLimitedLogger(log)
+		now := time.Now()
+		l.now = func() time.Time { return now }
+		var wg sync.WaitGroup
+		for range 100 {
+			wg.Go(func() { l.Log(slog.LevelWarn, "a", "garbage", "from", "x") })
+		}
+		wg.Wait()
+		l.Log(slog.LevelWarn, "b", "other")
+		So(strings.Count(out.String(), "\n"), ShouldEqual, 2)
+		now = now.Add(limitedInterval)
+		l.Log(slog.LevelWarn, "a", "garbage", "from", "y")
+		So(out.String(), ShouldContainSubstring, "from=y suppressed=99")
+		now = now.Add(limitedInterval)
+		l.Log(slog.LevelWarn, "a", "garbage", "from", "z")
+		So(out.String(), ShouldEndWith, "from=z\n")
+	})
+}
+
+// Guards against metrics that are missing and against a readiness that does not follow the daemon.
+func TestHTTP(t *testing.T) {
+	Convey("Given a server", t, func() {
+		m := NewMetrics()
+		m.Set().NewCounter(`mangoweir_test_total{kind="x"}`).Add(3)
+		var missing error
+		log := slog.New(slog.DiscardHandler)
+		s, err := StartServer(netip.MustParseAddrPort("127.0.0.1:0"), m.Handler(func() error { return missing }), log)
+		So(err, ShouldBeNil)
+		defer s.Close(context.Background())
+		get := func(path string) (int, string) {
+			r, err := http.Get("http://" + s.Addr().String() + path)
+			So(err, ShouldBeNil)
+			defer r.Body.Close()
+			body, err := io.ReadAll(r.Body)
+			So(err, ShouldBeNil)
+			return r.StatusCode, string(body)
+		}
+		status, body := get("/metrics")
+		So(status, ShouldEqual, http.StatusOK)
+		So(body, ShouldContainSubstring, `mangoweir_test_total{kind="x"} 3`)
+		So(body, ShouldContainSubstring, "go_goroutines")
+		status, _ = get("/readyz")
+		So(status, ShouldEqual, http.StatusOK)
+		missing = errors.New("no manifest yet")
+		status, body = get("/readyz")
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(body, ShouldContainSubstring, "no manifest yet")
+		status, _ = get("/healthz")
+		So(status, ShouldEqual, http.StatusOK)
+		status, _ = get("/other")
+		So(status, ShouldEqual, http.StatusNotFound)
+		_, err = StartServer(s.Addr(), m.Handler(nil), log)
+		So(errors.Is(err, ErrListen), ShouldBeTrue)
+	})
+}
+
+// exportedSpan is the part of an exported span that the tests look at.
+type exportedSpan struct {
+	Name        string
+	SpanContext struct{ TraceID, SpanID string }
+	Parent      struct{ TraceID, SpanID string }
+	Status      struct{ Code, Description string }
+}
+
+func readSpans(t *testing.T, path string) map[string]exportedSpan {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	spans := map[string]exportedSpan{}
+	for d := json.NewDecoder(file); ; {
+		var s exportedSpan
+		if err := d.Decode(&s); err == io.EOF {
+			return spans
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		spans[s.Name] = s
+	}
+}
+
+// Guards against hops that lose their trace between VMs, and against VMs without traces that break
+// the chain.
+func TestTraceFile(t *testing.T) {
+	Convey("Three hops on three VMs form a chain", t, func() {
+		path := filepath.Join(t.TempDir(), "spans")
+		log := slog.New(slog.DiscardHandler)
+		a, err := NewTracer(TraceSettings{File: path, Ratio: 1, VM: "vm-a", Zone: "z"}, log)
+		So(err, ShouldBeNil)
+		off, err := NewTracer(TraceSettings{}, log)
+		So(err, ShouldBeNil)
+		b, err := NewTracer(TraceSettings{File: path, Ratio: 0, VM: "vm-b", Zone: "z"}, log)
+		So(err, ShouldBeNil)
+
+		first := a.StartRoot(HopIngress)
+		through := off.StartHop(first.Context(), HopForward)
+		So(through.Context(), ShouldResemble, first.Context())
+		last := b.StartHop(through.Context(), HopTarget)
+		last.Set("target", "t-1")
+		last.End("shed")
+		through.End("")
+		first.End("")
+		So(a.Close(context.Background()), ShouldBeNil)
+		So(b.Close(context.Background()), ShouldBeNil)
+		So(off.Close(context.Background()), ShouldBeNil)
+
+		spans := readSpans(t, path)
+		So(len(spans), ShouldEqual, 2)
+		So(spans["target"].Parent.SpanID, ShouldEqual, spans["ingress"].SpanContext.SpanID)
+		So(spans["target"].SpanContext.TraceID, ShouldEqual, spans["ingress"].SpanContext.TraceID)
+		So(spans["target"].Status.Description, ShouldEqual, "shed")
+	})
+	Convey("A request that is not traced stays so", t, func() {
+		path := filepath.Join(t.TempDir(), "spans")
+		tracer, err := NewTracer(TraceSettings{File: path, Ratio: 0}, slog.New(slog.DiscardHandler))
+		So(err, ShouldBeNil)
+		root := tracer.StartRoot(HopIngress)
+		So(root.Context(), ShouldResemble, core.TraceContext{})
+		tracer.StartHop(root.Context(), HopForward).End("")
+		So(tracer.Close(context.Background()), ShouldBeNil)
+		So(readSpans(t, path), ShouldBeEmpty)
+	})
+	Convey("Contradicting settings are refused", t, func() {
+		for _, s := range []TraceSettings{{File: "a", Endpoint: "http://b"}, {Ratio: 2}, {Endpoint: "b:1"}, {Endpoint: "ftp://b"}} {
+			_, err := NewTracer(s, slog.Default())
+			So(errors.Is(err, ErrTraceSettings), ShouldBeTrue)
+		}
+		_, err := NewTracer(TraceSettings{File: "/nowhere/spans"}, slog.Default())
+		So(errors.Is(err, ErrTraceFile), ShouldBeTrue)
+	})
+}
+
+// Guards against spans that do not reach an OTLP endpoint, and against silent failures.
+func TestTraceEndpoint(t *testing.T) {
+	Convey("Spans are posted, and a failure is logged", t, func() {
+		status := http.StatusOK
+		posts := make(chan string, 16)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			posts <- r.URL.Path + " " + string(body)
+			w.WriteHeader(status)
+		}))
+		defer server.Close()
+		for _, status = range []int{http.StatusOK, http.StatusBadRequest} {
+			out := &bytes.Buffer{}
+			log, err := NewLogger(out, LogSettings{})
+			So(err, ShouldBeNil)
+			tracer, err := NewTracer(TraceSettings{Endpoint: server.URL + "/v1/traces", Ratio: 1, VM: "vm-a"}, log)
+			So(err, ShouldBeNil)
+			tracer.StartRoot(HopIngress).End("")
+			So(tracer.Close(context.Background()), ShouldBeNil)
+			post := <-posts
+			So(post, ShouldStartWith, "/v1/traces ")
+			So(post, ShouldContainSubstring, "ingress")
+			So(strings.Contains(out.String(), "spans not exported"), ShouldEqual, status != http.StatusOK)
+		}
+	})
+}
