Settle where a flow is before its postings run again

A randomized test with packet loss, crashes, isolation and handovers found flows that two owners knew on different targets. A posting whose copies reached both could run twice. A flow that is placed although a candidate or a peer could not be asked is now doubtful: its non-idempotent requests first ask what is open, and are refused as unknown until it is answered.

Outcomes of attempts that two handovers have passed are relayed.

Ruled out: one arbiter per flow for records, which costs every posting a hop, and negative FlowReplies, whose number depends on the peers' shards.

--- a/core/message.go
+++ b/core/message.go
@@ -182,6 +182,8 @@
 	// Unsettled is the time in which repetitions of requests may arrive that were made before the
 	// flow was placed or moved.
 	Unsettled time.Duration
+	// Doubtful is true when the flow may be known to be on another target elsewhere.
+	Doubtful bool
 }
 
 // RecordState is the state of a non-idempotent request.
--- a/core/traffic/backup.go
+++ b/core/traffic/backup.go
@@ -12,6 +12,12 @@
 	keys   untilTable[reqKey]
 }
 
+// knowsBackup reports whether the snapshot's backup is that of this VM's holding. Until control has
+// noted a change of the holder, it is the former holder's.
+func (s *Shard) knowsBackup(o *owner) bool {
+	return o.view != nil && o.view.Holder == s.opts.Self
+}
+
 // askBackup asks the backup to keep a copy of a record. It reports false when there is nothing to
 // wait for: there is no backup, or the present one has confirmed.
 func (s *Shard) askBackup(o *owner, r *request) bool {
--- /dev/null
+++ b/core/traffic/doubt.go
@@ -0,0 +1,87 @@
+package traffic
+
+import (
+	"slices"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// doubt says what could not be asked when a flow was placed. The flow may be known elsewhere, where
+// repetitions of its requests may arrive, so that its non-idempotent requests must not run here
+// until the questions have been answered.
+type doubt struct {
+	// ask lists the candidates whose holders could not be reached.
+	ask []core.TargetID
+	// peers is true when not all peers were asked after the loss of a former holder's state.
+	peers bool
+}
+
+// noteDoubt keeps what could not be asked about a flow that is placed now.
+func (s *Shard) noteDoubt(o *owner, f *core.ForwardRequest) {
+	d := &doubt{peers: s.mustAsk(o) && !f.Queried && len(s.snap.Peers) > 0}
+	if f.Unreached {
+		for _, id := range f.Asked {
+			if id != o.id && !slices.Contains(d.ask, id) {
+				d.ask = append(d.ask, id)
+			}
+		}
+	}
+	if d.peers || len(d.ask) > 0 {
+		o.doubts[f.Request.Flow] = d
+	}
+	if f.Queried {
+		o.guessed.put(f.Request.Flow, s.now+core.RequestLifetime)
+	}
+}
+
+// settle asks what is still open about a flow before one of its non-idempotent requests runs. It
+// reports false when the request went elsewhere or waits for an answer.
+func (s *Shard) settle(o *owner, f *core.ForwardRequest) bool {
+	d := o.doubts[f.Request.Flow]
+	if d == nil || f.Request.Idempotent || f.Request.Method == core.MethodCancel {
+		return true
+	}
+	if d.peers && !f.Queried {
+		if s.allReachable() && s.askPeers(f) {
+			return false
+		}
+		f.Unreached = true
+		return true
+	}
+	for _, id := range d.ask {
+		if s.view(id) != nil && !slices.Contains(f.Asked, id) {
+			s.askCandidate(o, f, d)
+			return false
+		}
+	}
+	if f.Unreached || len(d.ask) > 0 && !f.Cleared {
+		f.Unreached = true
+		return true
+	}
+	delete(o.doubts, f.Request.Flow)
+	f.Cleared = true
+	return true
+}
+
+// askCandidate sends a request to the candidates in doubt. The holder of one that knows the flow
+// serves it; otherwise it comes back.
+func (s *Shard) askCandidate(o *owner, f *core.ForwardRequest, d *doubt) {
+	var trail []core.TargetID
+	for _, id := range d.ask {
+		if s.view(id) != nil && !slices.Contains(f.Asked, id) {
+			trail = append(trail, id)
+		}
+	}
+	f.Target = trail[0]
+	f.Trail = append(trail[1:], o.id)
+	f.Known = false
+	f.Cleared = true
+	f.Moved = false
+	f.Hops++
+	s.dispatch(f)
+}
+
+// allReachable reports whether there is a link to every peer.
+func (s *Shard) allReachable() bool {
+	return !slices.ContainsFunc(s.snap.Peers, func(p core.VMName) bool { return !s.reachable(p) })
+}
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -120,6 +120,7 @@
 		f := core.FlowState{Flow: e.key, Target: e.target, Idle: e.idle(w.s.now)}
 		f.Unsettled = max(w.o.unsure.m[e.key], w.o.moved.m[e.key]) - w.s.now
 		f.Unsettled = max(f.Unsettled, 0)
+		f.Doubtful = w.o.doubts[e.key] != nil
 		size := flowBytes
 		fd := w.o.feeds.m[e.key]
 		if fd == nil {
@@ -150,6 +151,18 @@
 			Idempotent: true,
 		})
 	}
+	for _, k := range w.o.remote.order {
+		v := w.o.remote.m[k]
+		for range v.slots {
+			w.writeRecord(core.RequestRecord{
+				Flow:       k.flow,
+				ID:         k.id,
+				State:      core.RecordSent,
+				Left:       max(v.until-w.s.now, 0),
+				Idempotent: true,
+			})
+		}
+	}
 	seen := map[reqKey]bool{}
 	order := &w.o.records.order
 	for _, k := range order.items[order.head:] {
@@ -412,6 +425,11 @@
 		}
 		table.put(f.Flow, s.now+f.Unsettled)
 	}
+	if f.Doubtful {
+		o.doubts[f.Flow] = &doubt{peers: true, ask: slices.DeleteFunc(s.candidates(f.Flow), func(id core.TargetID) bool {
+			return id == o.id
+		})}
+	}
 	if f.Feed == nil {
 		return
 	}
--- a/core/traffic/helpers_test.go
+++ b/core/traffic/helpers_test.go
@@ -22,7 +22,9 @@
 	cut map[core.VMName]bool
 	// hold keeps messages for which it returns true.
 	hold func(to core.VMName, m core.Message) bool
-	held []core.SendPeer
+	held []heldMessage
+	// trace sees all inputs and actions.
+	trace func(vm core.VMName, in core.Input, out []core.Action)
 
 	config  *core.Config
 	current []core.TargetID
@@ -43,6 +45,11 @@
 	queries int
 }
 
+type heldMessage struct {
+	core.SendPeer
+	from core.VMName
+}
+
 // newFleet returns VMs "a", "b" and so on that hold the given number of targets in turn.
 func newFleet(t testing.TB, vms, targets int) *fleet {
 	f := &fleet{t: t, now: time.Hour, vms: map[core.VMName]*Shard{}, cut: map[core.VMName]bool{},
@@ -123,7 +130,11 @@
 
 // in handles an input at a VM and all messages that follow from it.
 func (f *fleet) in(vm core.VMName, in core.Input) {
-	f.collect(vm, f.vms[vm].Handle(in, f.now, nil))
+	out := f.vms[vm].Handle(in, f.now, nil)
+	if f.trace != nil {
+		f.trace(vm, in, out)
+	}
+	f.collect(vm, out)
 }
 
 func (f *fleet) collect(vm core.VMName, out []core.Action) {
@@ -156,8 +167,8 @@
 	if _, ok := a.Msg.(*core.FlowQuery); ok {
 		f.queries++
 	}
-	if f.hold != nil && f.hold(a.To, a.Msg) {
-		f.held = append(f.held, a)
+	if f.hold != nil && a.To != from && f.hold(a.To, a.Msg) {
+		f.held = append(f.held, heldMessage{a, from})
 		return
 	}
 	if f.vms[a.To] != nil && !f.cut[a.To] && !(f.cut[from] && a.To != from) {
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -22,6 +22,13 @@
 	moved  untilTable[core.FlowKey]
 	unsure untilTable[core.FlowKey]
 
+	// doubts holds flows that were placed although another VM may know them elsewhere.
+	doubts map[core.FlowKey]*doubt
+	// guessed holds flows that were placed although peers had not answered in time.
+	guessed untilTable[core.FlowKey]
+	// passed holds flows that went on to other candidates while lost flows may appear here.
+	passed untilTable[core.FlowKey]
+
 	ramp     ramp
 	inFlight int
 	// uploads is the part of inFlight that are uploads.
@@ -68,6 +75,9 @@
 		remote:     newRemoteRequests(),
 		reportedAt: -loadInterval,
 	}
+	o.doubts = map[core.FlowKey]*doubt{}
+	o.guessed.init()
+	o.passed.init()
 	o.moved.init()
 	o.unsure.init()
 	s.applyView(o)
@@ -198,6 +208,8 @@
 	s.tickRequests(o)
 	s.tickHandover(o)
 	o.records.expire(s, s.now)
+	o.guessed.expire(s.now)
+	o.passed.expire(s.now)
 	o.moved.expire(s.now)
 	o.unsure.expire(s.now)
 	s.expireRemote(o)
@@ -226,6 +238,7 @@
 		k := e.key
 		if e.target == o.id {
 			if o.feeds.m[k] == nil {
+				delete(o.doubts, k)
 				o.flows.remove(&k)
 			}
 			return
@@ -249,6 +262,9 @@
 	if e := o.flows.get(&k); e != nil && e.target != o.id {
 		o.redirects--
 	}
+	if target != o.id {
+		delete(o.doubts, k)
+	}
 	o.flows.put(k, target, now)
 	if target != o.id {
 		o.redirects++
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -42,9 +42,12 @@
 // acceptsKnown reports whether a flow is on this target because the sender says so: the sender is
 // the owner that placed it, or a lost former holder of this target had it.
 func (s *Shard) acceptsKnown(o *owner, f *core.ForwardRequest) bool {
-	if f.Cleared || f.Moved || s.now < o.rebuildUntil {
+	if f.Cleared || f.Moved {
 		return true
 	}
+	if s.now < o.rebuildUntil {
+		return !o.passed.has(f.Request.Flow, s.now)
+	}
 	c := s.candidates(f.Request.Flow)
 	return len(c) == 1 && c[0] == o.id && s.accepts(o)
 }
@@ -61,6 +64,10 @@
 		f.Trail = s.notAsked(o, f)
 	}
 	if len(f.Trail) > 0 && f.Hops < maxHops {
+		if s.mustAsk(o) && f.Request.Method != core.MethodCancel {
+			// The flow is placed elsewhere now; a stale note must not bring it back here.
+			o.passed.put(f.Request.Flow, o.rebuildUntil)
+		}
 		s.passOn(f, true)
 		return nil
 	}
@@ -93,6 +100,7 @@
 		o.unsure.put(flow, s.now+core.RequestLifetime)
 	}
 	if target == o.id {
+		s.noteDoubt(o, f)
 		s.event(core.EventFlowPlaced, target)
 	} else {
 		s.event(core.EventFlowRedirected, target)
--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -92,7 +92,7 @@
 // whereIs returns the target of a flow by its placement, else by the ingress note.
 func (s *Shard) whereIs(flow core.FlowKey) core.TargetID {
 	for _, o := range s.ordered {
-		if e := o.flows.get(&flow); e != nil && !o.evicted(s.now) {
+		if e := o.flows.get(&flow); e != nil && !o.evicted(s.now) && o.doubts[flow] == nil {
 			return e.target
 		}
 	}
@@ -108,8 +108,14 @@
 		return
 	}
 	for _, o := range s.ordered {
-		if e := o.flows.get(&m.Flow); e != nil && e.target == m.Target && e.target != o.id {
+		e := o.flows.get(&m.Flow)
+		switch {
+		case e == nil:
+		case e.target != o.id && e.target == m.Target:
 			e.touch(s.now)
+		case e.target == o.id && m.Target != o.id && o.guessed.has(m.Flow, s.now) && s.now < o.quarantineUntil:
+			// The answer comes late; no non-idempotent request has run here.
+			o.setFlow(m.Flow, m.Target, s.now)
 		}
 	}
 	waiting := s.queries.waiting
@@ -132,7 +138,7 @@
 		s.dispatch(f)
 		return
 	}
-	if o.flows.get(&f.Request.Flow) != nil {
+	if e := o.flows.get(&f.Request.Flow); e != nil && (target == 0 || target == o.id || o.doubts[f.Request.Flow] == nil) {
 		s.onOwned(o, f)
 		return
 	}
--- a/core/traffic/queue.go
+++ b/core/traffic/queue.go
@@ -218,7 +218,7 @@
 
 // mayStart reports whether a queued request may take a free slot.
 func (s *Shard) mayStart(o *owner, r *request) bool {
-	if o.remote.flowBusy(r.req.Flow) {
+	if o.remote.flowBusy(r.req.Flow) || !r.req.Idempotent && !s.knowsBackup(o) {
 		return false
 	}
 	if r.req.Class != core.ClassUpload {
--- a/core/traffic/remote.go
+++ b/core/traffic/remote.go
@@ -87,12 +87,15 @@
 
 // onOutcome takes over the end of an attempt that the former holder had in flight.
 func (s *Shard) onOutcome(m *core.RequestOutcome) {
-	o := s.owners[m.Target]
-	if o == nil || m.Number != o.number {
+	o := s.holdingOf(m.Target, m.Number)
+	if o == nil {
 		return
 	}
 	k := reqKey{m.Record.Flow, m.Record.ID}
 	o.inFlight -= o.remote.remove(k, 1)
+	if o.handover != nil || o.to != "" {
+		s.relayOutcome(o, *m)
+	}
 	switch {
 	case m.Idempotent:
 		s.marks.markRan(k, s.now)
@@ -107,6 +110,30 @@
 	s.pump(o)
 }
 
+// holdingOf returns the present or former owner that held a target under a number, or nil.
+func (s *Shard) holdingOf(id core.TargetID, number core.HoldingNumber) *owner {
+	if o := s.owners[id]; o != nil && o.number == number {
+		return o
+	}
+	for _, o := range s.former {
+		if o.id == id && o.number == number {
+			return o
+		}
+	}
+	return nil
+}
+
+// relayOutcome tells the next holder about an attempt of the one before this VM.
+func (s *Shard) relayOutcome(o *owner, m core.RequestOutcome) {
+	if h := o.handover; h != nil {
+		m.Number = h.number
+		h.outcomes = append(h.outcomes, &m)
+		return
+	}
+	m.Number = o.toNumber
+	s.send(o.to, &m)
+}
+
 // recordFrom converts a record of another VM.
 func (s *Shard) recordFrom(m *core.RequestRecord) record {
 	rec := s.unknownRecord()
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -89,6 +89,9 @@
 	if f.Moved {
 		o.unsure.put(r.Flow, s.now+core.RequestLifetime)
 	}
+	if !s.settle(o, f) {
+		return
+	}
 	if o.evicted(s.now) && !f.Renewal {
 		s.move(o, f)
 		return
@@ -198,7 +201,7 @@
 
 // prepare gets the backup's confirmation for a non-idempotent request and queues the request.
 func (s *Shard) prepare(o *owner, r *request) {
-	if !r.req.Idempotent && s.askBackup(o, r) {
+	if !r.req.Idempotent && s.knowsBackup(o) && s.askBackup(o, r) {
 		r.state = reqConfirming
 		return
 	}
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -202,6 +202,7 @@
 	}
 	for _, o := range s.former {
 		s.tickRequests(o)
+		s.expireRemote(o)
 	}
 	s.former = compact(s.former, s.stillNeeded)
 	s.expireParked()
