Treat peers' notes about a flow as hints

A stale note named the target that a flow had left, and the asking owner took it back: two owners then served the flow. The holder of the named target now decides, and an owner ignores replies that name itself after it passed the flow on. Requests that a replaced holder has to send again go to the next holder.

--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -136,6 +136,7 @@
 		s.onResult(a, m)
 	}
 	s.reportOutcome(o, a)
+	s.handOnRequeued(o, r)
 	if s.owners[o.id] == o {
 		s.pump(o)
 	}
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -254,6 +254,7 @@
 	h := o.handover
 	o.handover = nil
 	o.to = h.to
+	o.next = h.to
 	o.toNumber = h.number
 	s.uninstall(o)
 	s.emit(core.HolderChanged{Target: o.id, Holder: h.to, Number: h.number})
@@ -326,9 +327,18 @@
 		return
 	}
 	s.send(o.to, m)
-	if r.requeued {
-		s.handOn(o, r, o.to, true)
+}
+
+// handOnRequeued gives a request that is to be sent again to the new holder.
+func (s *Shard) handOnRequeued(o *owner, r *request) {
+	if !r.requeued || r.state != reqSent {
+		return
+	}
+	if o.next == "" {
+		s.refuseRequest(o, r, core.ReasonTargetLost)
+		return
 	}
+	s.handOn(o, r, o.next, o.to != "")
 }
 
 // onHandoverBegin starts to receive a target's state.
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -57,8 +57,10 @@
 	// receivedFrom is the former holder; to and toNumber are the new one after a handover.
 	receivedFrom core.VMName
 	to           core.VMName
-	toNumber     core.HoldingNumber
-	reported     core.TargetLoad
+	// next is the new holder, with or without a handover; empty when none is known.
+	next     core.VMName
+	toNumber core.HoldingNumber
+	reported core.TargetLoad
 	// reportedAt is the time of the last load report; negative before the first.
 	reportedAt time.Duration
 }
@@ -114,6 +116,7 @@
 func (s *Shard) install(o *owner) {
 	old := s.owners[o.id]
 	if old != nil {
+		old.next = s.opts.Self
 		s.uninstall(old)
 	}
 	s.owners[o.id] = o
@@ -175,6 +178,7 @@
 		s.completeHandover(o)
 		return
 	}
+	o.next = d.Holder
 	s.uninstall(o)
 	// The new holder did not get this VM's records, so nothing can be said about what ends here.
 	o.quarantineUntil = s.now + core.RequestLifetime
--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -121,7 +122,7 @@
 	waiting := s.queries.waiting
 	s.queries.waiting = nil
 	for _, q := range waiting {
-		if q.f.Request.Flow != m.Flow {
+		if q.f.Request.Flow != m.Flow || s.contradicted(q, m.Target) {
 			s.queries.waiting = append(s.queries.waiting, q)
 			continue
 		}
@@ -129,6 +130,12 @@
 	}
 }
 
+// contradicted reports whether a reply names the target that the flow is known to have left.
+func (s *Shard) contradicted(q query, target core.TargetID) bool {
+	o := s.owners[q.f.Target]
+	return o != nil && target == o.id && o.passed.has(q.f.Request.Flow, s.now)
+}
+
 // resume continues with a request whose flow was found on a target; 0 means that no peer knows it.
 func (s *Shard) resume(q query, target core.TargetID) {
 	f := q.f
@@ -148,12 +155,7 @@
 		o.setFlow(f.Request.Flow, o.id, s.now)
 		s.onOwned(o, f)
 	case target != 0 && s.view(target) != nil:
-		o.setFlow(f.Request.Flow, target, s.now)
-		// The reply does not say whether the flow's records are complete there.
-		if s.now < o.quarantineUntil {
-			f.Unreached = true
-		}
-		s.redirect(o, target, f)
+		s.forwardFound(o, target, f)
 	default:
 		if e := s.placeOrPass(o, f); e != nil {
 			s.onOwned(o, f)
@@ -161,6 +163,26 @@
 	}
 }
 
+// forwardFound sends a request to the target that a peer named. The peer's note may be stale, so the
+// target's holder decides.
+func (s *Shard) forwardFound(o *owner, target core.TargetID, f *core.ForwardRequest) {
+	if s.now < o.quarantineUntil {
+		f.Unreached = true
+	}
+	if o.flows.get(&f.Request.Flow) == nil {
+		o.passed.put(f.Request.Flow, o.rebuildUntil)
+	}
+	s.send(f.Ingress, &core.FlowLearned{Flow: f.Request.Flow, Target: target})
+	f.Asked = append(slices.Clone(f.Asked), o.id)
+	f.Target = target
+	f.Trail = nil
+	f.Known = true
+	f.Cleared = false
+	f.Moved = false
+	f.Hops++
+	s.dispatch(f)
+}
+
 // expireQueries continues with the requests that no peer has answered in time.
 func (s *Shard) expireQueries() {
 	waiting := s.queries.waiting
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -370,6 +370,9 @@
 	}
 	for _, n := range w.names {
 		s := w.vms[n]
+		for _, o := range s.former {
+			t.Logf("target %d: in flight %d, live %d, remote %d, flights %d", o.id, o.inFlight, len(o.live), len(o.remote.m), len(o.flights))
+		}
 		if len(s.attempts)+len(s.parked)+len(s.former)+len(s.queries.waiting) > 0 {
 			t.Fatalf("%s has %d attempts, %d parked requests and %d former owners left", n, len(s.attempts), len(s.parked), len(s.former))
 		}
