--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,7 +92,7 @@
 func (d *Daemon) start(ctx context.Context, client *platform.Client) {
 	st := d.opts.Settings
 	d.runtime = newRuntime(control.Options{
-		Self: st.Name, Zone: st.Zone, Addr: d.links.Addr(), Incarnation: incarnation(time.Now()),
+		Self: st.Name, Zone: st.Zone, Addr: d.announced(), Incarnation: incarnation(time.Now()),
 		Seeds: seeds(st), Decode: contract.Decode, Seed: seed(st.Name),
 	}, max(st.TrafficThreads, 1), d)
 	d.runtime.published = &d.snapshot
@@ -113,6 +113,14 @@
 	return core.Incarnation(now.Sub(base) / (100 * time.Millisecond))
 }
 
+// announced returns the address at which peers reach this VM.
+func (d *Daemon) announced() netip.AddrPort {
+	if a := d.opts.Settings.Listen.PeersAnnounced; a.IsValid() {
+		return a
+	}
+	return d.links.Addr()
+}
+
 // seed derives the seed of a VM's jitter from its name, so that VMs differ.
 func seed(name core.VMName) uint64 {
 	h := fnv.New64a()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,8 +35,11 @@
 	Fabric netip.AddrPort `json:"fabric" expect:"an IP address and port such as \"10.0.0.1:5683\""`
 	// Targets is the UDP address for datagrams from targets.
 	Targets netip.AddrPort `json:"targets" expect:"an IP address and port such as \"10.0.0.1:5684\""`
-	// Peers is the TCP address for links from other VMs. It is announced to them.
+	// Peers is the TCP address for links from other VMs.
 	Peers netip.AddrPort `json:"peers" expect:"an IP address and port such as \"10.0.0.1:7400\""`
+	// PeersAnnounced is the address at which other VMs reach Peers; default Peers. It differs when
+	// addresses are translated on the way.
+	PeersAnnounced netip.AddrPort `json:"peersAnnounced" expect:"an IP address and port such as \"10.0.0.1:7400\""`
 	// HTTP is the TCP address for metrics, health and status.
 	HTTP netip.AddrPort `json:"http" expect:"an IP address and port such as \"10.0.0.1:8080\""`
 }
@@ -66,6 +69,14 @@
 	Key  string `json:"key" expect:"a file name"`
 }
 
+// announced returns the address at which other VMs reach Peers.
+func (l *Listen) announced() netip.AddrPort {
+	if l.PeersAnnounced.IsValid() {
+		return l.PeersAnnounced
+	}
+	return l.Peers
+}
+
 // Log says what is logged and how.
 type Log struct {
 	// Level is "debug", "info", "warn" or "error"; default "info".
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -51,6 +51,9 @@
 	v.address(at.Field("targets"), l.Targets)
 	v.address(at.Field("peers"), l.Peers)
 	v.address(at.Field("http"), l.HTTP)
+	if l.PeersAnnounced.IsValid() {
+		v.address(at.Field("peersAnnounced"), l.PeersAnnounced)
+	}
 	if l.Fabric.IsValid() && l.Fabric == l.Targets {
 		v.report(at.Field("targets"), "the address is that of listen.fabric", "use another port")
 	}
@@ -88,8 +91,9 @@
 		if seed.Zone != v.s.Zone {
 			v.report(at.Field("zone"), "the VM's own entry names another zone", "use the zone of the settings")
 		}
-		if seed.Address != v.s.Listen.Peers {
-			v.report(at.Field("address"), "the VM's own entry names another address", "use listen.peers")
+		if seed.Address != v.s.Listen.announced() {
+			v.report(at.Field("address"), "the VM's own entry names another address",
+				"use listen.peersAnnounced if it is set, else listen.peers")
 		}
 	}
 }
