Ask a flow's other candidates before trusting a claim

The randomized test found a VM that came back from isolation with a note from its time as an owner. The new owner of the named target accepted the claim while it rebuilt its flows, and a posting ran at two targets. Flows that are accepted because of a claim are doubtful now. A redirect is only vouched for with authority.

--- a/core/traffic/doubt.go
+++ b/core/traffic/doubt.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// doubtOthers notes that a flow was accepted because of a claim that may be stale. The holders of
+// its other candidates, and those that the request has passed, know better.
+func (s *Shard) doubtOthers(o *owner, f *core.ForwardRequest) {
+	ask := s.candidates(f.Request.Flow)
+	for _, id := range f.Asked {
+		if !slices.Contains(ask, id) {
+			ask = append(ask, id)
+		}
+	}
+	ask = slices.DeleteFunc(ask, func(id core.TargetID) bool { return id == o.id })
+	if len(ask) > 0 {
+		o.doubts[f.Request.Flow] = &doubt{ask: ask}
+	}
+}
+
 // settle asks what is still open about a flow before one of its non-idempotent requests runs. It
 // reports false when the request went elsewhere or waits for an answer.
 func (s *Shard) settle(o *owner, f *core.ForwardRequest) bool {
@@ -48,11 +63,8 @@
 		f.Unreached = true
 		return true
 	}
-	for _, id := range d.ask {
-		if s.view(id) != nil && !slices.Contains(f.Asked, id) {
-			s.askCandidate(o, f, d)
-			return false
-		}
+	if !f.Unreached && s.askCandidates(o, f, d) {
+		return false
 	}
 	if f.Unreached || len(d.ask) > 0 && !f.Cleared {
 		f.Unreached = true
@@ -63,15 +75,18 @@
 	return true
 }
 
-// askCandidate sends a request to the candidates in doubt. The holder of one that knows the flow
-// serves it; otherwise it comes back.
-func (s *Shard) askCandidate(o *owner, f *core.ForwardRequest, d *doubt) {
+// askCandidates sends a request to the candidates in doubt that it has not visited. The holder of
+// one that knows the flow serves it; otherwise it comes back. It reports false when there are none.
+func (s *Shard) askCandidates(o *owner, f *core.ForwardRequest, d *doubt) bool {
 	var trail []core.TargetID
 	for _, id := range d.ask {
 		if s.view(id) != nil && !slices.Contains(f.Asked, id) {
 			trail = append(trail, id)
 		}
 	}
+	if len(trail) == 0 || f.Hops >= maxHops {
+		return false
+	}
 	f.Target = trail[0]
 	f.Trail = append(trail[1:], o.id)
 	f.Known = false
@@ -79,6 +94,7 @@
 	f.Moved = false
 	f.Hops++
 	s.dispatch(f)
+	return true
 }
 
 // allReachable reports whether there is a link to every peer.
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -17,6 +17,9 @@
 			return s.place(o, f)
 		}
 		o.setFlow(flow, o.id, s.now)
+		if !f.Cleared {
+			s.doubtOthers(o, f)
+		}
 		return o.flows.get(&flow)
 	}
 	if f.Request.Method == core.MethodCancel {
@@ -111,7 +114,7 @@
 // redirect forwards a request of a flow that this owner placed on another target.
 func (s *Shard) redirect(o *owner, target core.TargetID, f *core.ForwardRequest) {
 	flow := f.Request.Flow
-	sure := !f.Unreached && s.now >= o.quarantineUntil && !o.unsure.has(flow, s.now)
+	sure := !f.Unreached && s.vouches(o) && !o.unsure.has(flow, s.now) && o.doubts[flow] == nil
 	moved := o.moved.has(flow, s.now)
 	if !moved {
 		s.send(f.Ingress, &core.FlowLearned{Flow: flow, Target: target})
