Add the load tool

Cause: figures under load need callers at given rates and a summary that can be compared between runs. Ruled out: a closed loop, which slows down with the service and hides waiting times; requests begin at seeded random times whether or not others have ended. Change: internal/load with Run, a summary with HdrHistogram latencies, and a check of postings against the targets' ledger; internal/cli/load.go with NewLoadCommand, which is not yet registered. Callers can audit their postings. A caller test failed twice before because it asked a target for the ledger whose reads take an hour; it now blocks the target with uploads.

--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"github.com/spf13/cobra"
+
+	"github.com/mangoweir/mangoweir/internal/load"
+)
+
+// NewLoadCommand returns the load command. It fails when a flag is out of range, when a socket cannot
+// be opened, or when callers saw a promise broken.
+func NewLoadCommand() *cobra.Command {
+	var opts load.Options
+	var services []string
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "load --service ADDRESS:PORT...",
+		Short: "Send requests to services and summarize the answers",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			addrs, err := parseAddrs(services)
+			if err != nil {
+				return err
+			}
+			opts.Services = addrs
+			summary, err := load.Run(cmd.Context(), opts)
+			if err != nil {
+				return err
+			}
+			if err := printSummary(cmd, &summary, asJSON); err != nil {
+				return err
+			}
+			return summary.Violation()
+		},
+	}
+	f := cmd.Flags()
+	f.StringArrayVar(&services, "service", nil, "address and port of a service; may be repeated")
+	f.IntVar(&opts.Callers, "callers", 50, "number of callers, each a flow of its own")
+	f.IntVar(&opts.Feeds, "feeds", 0, "number of callers that hold a live feed")
+	f.Float64Var(&opts.Reads, "reads", 0, "reads per second")
+	f.Float64Var(&opts.Postings, "postings", 0, "postings per second")
+	f.Float64Var(&opts.Uploads, "uploads", 0, "uploads per second")
+	f.IntVar(&opts.UploadSize, "upload-size", 0, "size of an upload in bytes (default 200000)")
+	f.DurationVar(&opts.Duration, "duration", 0, "time in which requests begin (default 10s)")
+	f.DurationVar(&opts.Deadline, "deadline", 0, "deadline of requests (default 5s)")
+	f.IntVar(&opts.MaxRequests, "max-requests", 0, "bound of requests begun (default 1000000)")
+	f.IntVar(&opts.Audit, "audit", 0, "postings per caller to look up in the targets' ledger")
+	f.Uint64Var(&opts.Seed, "seed", 1, "seed of all random choices")
+	f.BoolVar(&asJSON, "json", false, "print the summary as JSON")
+	return cmd
+}
+
+// parseAddrs parses addresses with ports.
+func parseAddrs(values []string) ([]netip.AddrPort, error) {
+	var addrs []netip.AddrPort
+	for _, v := range values {
+		a, err := netip.ParseAddrPort(v)
+		if err != nil {
+			return nil, fmt.Errorf("--service %q: %w; use an IP address and a port", v, err)
+		}
+		addrs = append(addrs, a)
+	}
+	return addrs, nil
+}
+
+// printSummary writes the summary to the command's output.
+func printSummary(cmd *cobra.Command, s *load.Summary, asJSON bool) error {
+	if !asJSON {
+		return s.WriteText(cmd.OutOrStdout())
+	}
+	enc := json.NewEncoder(cmd.OutOrStdout())
+	enc.SetIndent("", "  ")
+	return enc.Encode(s)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,82 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/mangoweir/mangoweir/internal/standin/caller"
+	"github.com/mangoweir/mangoweir/internal/standin/fabric"
+	"github.com/mangoweir/mangoweir/internal/standin/relay"
+	"github.com/mangoweir/mangoweir/internal/standin/target"
+)
+
+// startSite starts a service with one target and returns its address and its ledger.
+func startSite() (netip.AddrPort, *target.Ledger) {
+	f, err := fabric.Start(fabric.Options{Services: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:0")}})
+	So(err, ShouldBeNil)
+	ledger := target.NewLedger()
+	t, err := target.Start(target.Options{Name: "a", Slots: 200, ReportsLoad: true, FeedInterval: 50 * time.Millisecond, Ledger: ledger})
+	So(err, ShouldBeNil)
+	r, err := relay.Start(relay.Options{Return: f.ReturnAddr(), Incarnation: 1,
+		Targets: func(netip.AddrPort) []netip.AddrPort { return []netip.AddrPort{t.Addr()} }})
+	So(err, ShouldBeNil)
+	f.AddVM("vm", r.FabricAddr())
+	Reset(func() {
+		r.Kill()
+		t.Close()
+		f.Close()
+	})
+	return f.ServiceAddrs()[0], ledger
+}
+
+// Guards against a summary that does not add up to what was sent, and against runs without an end.
+func TestRun(t *testing.T) {
+	Convey("A run counts what its callers did and asks the ledger", t, func() {
+		service, ledger := startSite()
+		s, err := Run(t.Context(), Options{Services: []netip.AddrPort{service}, Callers: 10, Feeds: 4, Reads: 200,
+			Postings: 100, Uploads: 5, UploadSize: 5000, Duration: time.Second, Audit: 100, Seed: 3})
+		So(err, ShouldBeNil)
+		So(s.Begun, ShouldBeBetween, 150, 450)
+		for _, c := range s.Classes {
+			So(c.Silent+c.Refused+c.Unknown, ShouldEqual, 0)
+		}
+		So(s.Classes[1].Answered+s.PostsDone+s.UploadsDone, ShouldEqual, uint64(s.Begun))
+		So(s.PostsDone, ShouldEqual, uint64(ledger.Len()))
+		So(*s.Audit, ShouldResemble, caller.Audit{Checked: ledger.Len()})
+		So(s.FeedsOpened, ShouldEqual, 4)
+		So(s.Classes[1].P99, ShouldBeGreaterThanOrEqualTo, s.Classes[1].P50)
+		So(s.Violation(), ShouldBeNil)
+		var text, js bytes.Buffer
+		So(s.WriteText(&text), ShouldBeNil)
+		So(text.String(), ShouldContainSubstring, "0 doubled")
+		So(json.NewEncoder(&js).Encode(s), ShouldBeNil)
+	})
+	Convey("A run ends at its maximum, or with its context", t, func() {
+		service, _ := startSite()
+		s, err := Run(t.Context(), Options{Services: []netip.AddrPort{service}, Reads: 500, MaxRequests: 20, Duration: 300 * time.Millisecond})
+		So(err, ShouldBeNil)
+		So(s.Begun, ShouldEqual, 20)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err = Run(ctx, Options{Services: []netip.AddrPort{service}, Reads: 10, Duration: time.Minute})
+		So(err, ShouldBeNil)
+		So(time.Since(began), ShouldBeLessThan, time.Second)
+	})
+	Convey("Options out of range are all reported, and violations are named", t, func() {
+		_, err := Run(t.Context(), Options{Callers: -1, Reads: -1})
+		var e *OptionError
+		So(errors.As(err, &e), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "callers is -1")
+		So(err.Error(), ShouldContainSubstring, "reads is -1")
+		s := Summary{Broken: 2, Audit: &caller.Audit{Doubles: 1}}
+		So(s.Violation().Error(), ShouldContainSubstring, "2 broken flows, 1 postings run twice")
+	})
+}
--- /dev/null
+++ b/internal/load/options.go
@@ -0,0 +1,104 @@
+package load
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// Options configures a run.
+type Options struct {
+	// Services are the addresses to send to; callers are spread over them in turn.
+	Services []netip.AddrPort
+	// Callers is the number of callers, each with a socket of its own; default 50.
+	Callers int
+	// Feeds is the number of callers that hold a live feed; at most Callers.
+	Feeds int
+	// Reads, Postings and Uploads are rates per second, over all callers.
+	Reads, Postings, Uploads float64
+	// UploadSize is the size of an upload in bytes; default 200,000.
+	UploadSize int
+	// Duration is the time in which requests begin; default 10 s. Requests in progress get as long as
+	// their deadline to end.
+	Duration time.Duration
+	// Deadline is the deadline of requests; default 5 s.
+	Deadline time.Duration
+	// MaxRequests bounds the reads, postings and uploads that are begun; default 1,000,000.
+	MaxRequests int
+	// Audit is the number of postings per caller and kind that the targets' ledger is asked about
+	// after the run; 0 asks about none. Only targets with a ledger can answer.
+	Audit int
+	Seed  uint64
+}
+
+// Bounds of a run.
+const (
+	// MaxCallers bounds the callers, because each needs a file descriptor.
+	MaxCallers = 10_000
+	// MaxDuration bounds the duration of a run.
+	MaxDuration = time.Hour
+	// MaxRate bounds each rate, per second.
+	MaxRate = 50_000
+	// maxInProgress bounds the requests in progress; requests above it are skipped and counted.
+	maxInProgress = 20_000
+)
+
+// withDefaults fills in the defaults.
+func (o Options) withDefaults() Options {
+	setDefault(&o.Callers, 50)
+	setDefault(&o.UploadSize, 200_000)
+	setDefault(&o.Duration, 10*time.Second)
+	setDefault(&o.Deadline, 5*time.Second)
+	setDefault(&o.MaxRequests, 1_000_000)
+	return o
+}
+
+// setDefault replaces the zero value.
+func setDefault[T int | time.Duration](v *T, def T) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// OptionError says that an option is out of range.
+type OptionError struct {
+	Option string
+	Value  any
+	Remedy string
+}
+
+// Error names the option, its value and the remedy.
+func (e *OptionError) Error() string {
+	return fmt.Sprintf("load: %s is %v; %s", e.Option, e.Value, e.Remedy)
+}
+
+// validate returns all errors of the options, joined.
+func (o Options) validate() error {
+	var errs []error
+	check := func(ok bool, option string, value any, remedy string) {
+		if !ok {
+			errs = append(errs, &OptionError{option, value, remedy})
+		}
+	}
+	check(len(o.Services) > 0, "service", "missing", "name at least one address")
+	for _, s := range o.Services {
+		check(s.IsValid() && s.Port() != 0, "service", s, "use an IP address and a port")
+	}
+	check(o.Callers > 0 && o.Callers <= MaxCallers, "callers", o.Callers, "use 1 to 10000")
+	check(o.Feeds >= 0 && o.Feeds <= o.Callers, "feeds", o.Feeds, "use at most the number of callers")
+	check(o.rateOK(o.Reads), "reads", o.Reads, "use 0 to 50000 per second")
+	check(o.rateOK(o.Postings), "postings", o.Postings, "use 0 to 50000 per second")
+	check(o.rateOK(o.Uploads), "uploads", o.Uploads, "use 0 to 50000 per second")
+	check(o.UploadSize > 0 && o.UploadSize <= 4<<20, "upload size", o.UploadSize, "use 1 byte to 4 MB")
+	check(o.Duration > 0 && o.Duration <= MaxDuration, "duration", o.Duration, "use at most 1 h")
+	check(o.Deadline > 0 && o.Deadline <= core.MaxDeadline, "deadline", o.Deadline, "use at most 10 s")
+	check(o.MaxRequests > 0, "maximum of requests", o.MaxRequests, "use 1 or more")
+	check(o.Audit >= 0, "audit", o.Audit, "use 0 or more")
+	return errors.Join(errs...)
+}
+
+// rateOK reports whether a rate is in range.
+func (o Options) rateOK(r float64) bool { return r >= 0 && r <= MaxRate }
--- /dev/null
+++ b/internal/load/summary.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/standin/caller"
+)
+
+// Summary is the result of a run, as its callers saw it.
+type Summary struct {
+	Seed    uint64  `json:"seed"`
+	Callers int     `json:"callers"`
+	Seconds float64 `json:"seconds"`
+	// Begun counts reads, postings and uploads that were begun; Skipped those that were not, because
+	// too many were in progress.
+	Begun   int            `json:"begun"`
+	Skipped int            `json:"skipped"`
+	Classes []ClassSummary `json:"classes"`
+	// Refusals counts refusals and unknown outcomes by the reason that the balancer gave.
+	Refusals map[string]uint64 `json:"refusals"`
+
+	Mismatched uint64 `json:"mismatched"`
+	Late       uint64 `json:"late"`
+
+	FeedsOpened   uint64 `json:"feedsOpened"`
+	Notifications uint64 `json:"notifications"`
+	FeedGaps      uint64 `json:"feedGaps"`
+	Broken        uint64 `json:"broken"`
+	BrokenSilent  uint64 `json:"brokenSilent"`
+	BrokenMoved   uint64 `json:"brokenMoved"`
+
+	PostsDone         uint64 `json:"postsDone"`
+	PostsConfirmed    uint64 `json:"postsConfirmed"`
+	PostsGivenUp      uint64 `json:"postsGivenUp"`
+	UploadsDone       uint64 `json:"uploadsDone"`
+	UploadsFailed     uint64 `json:"uploadsFailed"`
+	UploadsMismatched uint64 `json:"uploadsMismatched"`
+
+	// Audit is what the targets' ledger says; nil when it was not asked.
+	Audit *caller.Audit `json:"audit,omitempty"`
+}
+
+// ClassSummary is the part of a Summary about a class. A request that is asked again with a new id
+// counts again. Latencies are those of answered requests.
+type ClassSummary struct {
+	Class     string  `json:"class"`
+	Answered  uint64  `json:"answered"`
+	Refused   uint64  `json:"refused"`
+	Unknown   uint64  `json:"unknown"`
+	Silent    uint64  `json:"silent"`
+	Abandoned uint64  `json:"abandoned"`
+	P50       float64 `json:"p50ms"`
+	P90       float64 `json:"p90ms"`
+	P99       float64 `json:"p99ms"`
+	Max       float64 `json:"maxms"`
+}
+
+// recorder takes in the outcomes of all callers.
+type recorder struct {
+	mu       sync.Mutex
+	latency  [core.NumClasses]*hdr.Histogram
+	refusals map[string]uint64
+}
+
+// maxReasons bounds the reasons that are told apart, because they come from the network.
+const maxReasons = 32
+
+// newRecorder returns a recorder for latencies from 1 us to 1 min, to 3 digits.
+func newRecorder() *recorder {
+	r := &recorder{refusals: map[string]uint64{}}
+	for c := range r.latency {
+		r.latency[c] = hdr.New(1, time.Minute.Microseconds(), 3)
+	}
+	return r
+}
+
+// record takes in an outcome.
+func (r *recorder) record(c core.Class, o caller.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch o.Status {
+	case caller.Answered:
+		// A latency above the range is at the deadline's scale and cannot occur.
+		_ = r.latency[c].RecordValue(max(o.Took.Microseconds(), 1))
+	case caller.Refused, caller.Unknown:
+		reason := o.Reason
+		if _, known := r.refusals[reason]; !known && len(r.refusals) >= maxReasons {
+			reason = "other"
+		}
+		r.refusals[reason]++
+	}
+}
+
+// fill sets the parts of a summary that come from the callers' counts.
+func (r *recorder) fill(s *Summary, total *caller.Stats) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range core.NumClasses {
+		h, n := r.latency[c], total.Outcomes[c]
+		ms := func(v int64) float64 { return float64(v) / 1000 }
+		s.Classes = append(s.Classes, ClassSummary{
+			Class: c.String(), Answered: n[caller.Answered], Refused: n[caller.Refused], Unknown: n[caller.Unknown],
+			Silent: n[caller.Silent], Abandoned: n[caller.Abandoned],
+			P50: ms(h.ValueAtQuantile(50)), P90: ms(h.ValueAtQuantile(90)), P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+		})
+	}
+	s.Refusals = maps.Clone(r.refusals)
+	s.Mismatched, s.Late = total.Mismatched, total.Late
+	s.FeedsOpened, s.Notifications, s.FeedGaps = total.FeedsOpened, total.Notifications, total.FeedGaps
+	s.Broken, s.BrokenSilent, s.BrokenMoved = total.Broken, total.BrokenSilent, total.BrokenMoved
+	s.PostsDone, s.PostsConfirmed, s.PostsGivenUp = total.PostsDone, total.PostsConfirmed, total.PostsGivenUp
+	s.UploadsDone, s.UploadsFailed, s.UploadsMismatched = total.UploadsDone, total.UploadsFailed, total.UploadsMismatched
+}
+
+// WriteText writes the summary as a table.
+func (s *Summary) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\tanswered\trefused\tunknown\tsilent\tabandoned\tp50 ms\tp90 ms\tp99 ms\tmax ms\t")
+	for _, c := range s.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n", c.Class, c.Answered, c.Refused,
+			c.Unknown, c.Silent, c.Abandoned, c.P50, c.P90, c.P99, c.Max)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, `
+%d callers, %.1f s, seed %d: %d requests begun, %d skipped
+feeds: %d opened, %d notifications, %d missing, %d broken flows (%d silent, %d moved)
+postings: %d done, %d confirmed by reading, %d given up
+uploads: %d done, %d failed, %d with other content
+answers: %d to another request, %d late
+refusals: %s
+%s`, s.Callers, s.Seconds, s.Seed, s.Begun, s.Skipped,
+		s.FeedsOpened, s.Notifications, s.FeedGaps, s.Broken, s.BrokenSilent, s.BrokenMoved,
+		s.PostsDone, s.PostsConfirmed, s.PostsGivenUp,
+		s.UploadsDone, s.UploadsFailed, s.UploadsMismatched, s.Mismatched, s.Late, s.reasons(), s.audit())
+	return err
+}
+
+// reasons lists the reasons of refusals in a fixed order.
+func (s *Summary) reasons() string {
+	if len(s.Refusals) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(s.Refusals)) {
+		parts = append(parts, fmt.Sprintf("%d %q", s.Refusals[name], name))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// audit says what the ledger says.
+func (s *Summary) audit() string {
+	if s.Audit == nil {
+		return "ledger: not asked\n"
+	}
+	return fmt.Sprintf("ledger: %d postings checked, %d doubled, %d missing, %d run though refused\n",
+		s.Audit.Checked, s.Audit.Doubles, s.Audit.Missing, s.Audit.Untrue)
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -32,7 +32,7 @@
 	waiting map[uint32]*exchange
 	// lastTarget and lastZone are where the flow is, as far as answers told.
 	lastTarget, lastZone string
-	refused              []string
+	posted, refused      []string
 	posts, uploads       int
 }
 
@@ -44,8 +44,8 @@
 	messages chan message.Message
 }
 
-// maxRefused bounds the keys that Refused returns.
-const maxRefused = 100_000
+// maxKeys bounds the keys of postings that a caller remembers, per kind.
+const maxKeys = 100_000
 
 // Start opens a caller's socket.
 func Start(opts Options) (*Caller, error) {
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -93,11 +93,11 @@
 		So(s.ledger.Len(), ShouldEqual, 1)
 	})
 	Convey("A refused posting comes back when it was told to, and its key is kept", t, func() {
-		s := newSite(target.Options{ServiceTime: [core.NumClasses]time.Duration{core.ClassRead: time.Hour}})
+		s := newSite(target.Options{ServiceTime: [core.NumClasses]time.Duration{core.ClassUpload: time.Hour}})
 		c := s.caller(Options{})
 		ctx, cancel := context.WithCancel(t.Context())
 		for range 8 {
-			go c.Read(ctx)
+			go c.Upload(ctx, 1)
 		}
 		time.Sleep(100 * time.Millisecond)
 		time.AfterFunc(200*time.Millisecond, func() {
@@ -109,6 +109,9 @@
 		So(time.Since(began), ShouldBeGreaterThanOrEqualTo, time.Second)
 		So(len(c.Refused()), ShouldEqual, 1)
 		So(s.ledger.Runs(c.Refused()[0]), ShouldEqual, 0)
+		So(c.Audit(t.Context(), 10), ShouldResemble, Audit{Checked: 2})
+		s.ledger.Record(c.Refused()[0])
+		So(c.Audit(t.Context(), 10), ShouldResemble, Audit{Checked: 2, Untrue: 1})
 	})
 }
 
--- a/internal/standin/caller/post.go
+++ b/internal/standin/caller/post.go
@@ -30,6 +30,7 @@
 		switch out.Status {
 		case Answered:
 			c.postAnswered(out, key)
+			c.notePosted(key)
 			return true
 		case Refused:
 			c.noteRefused(key)
@@ -39,6 +40,7 @@
 				c.count(func(s *Stats) { s.PostsUnknown++ })
 			}
 			if c.ran(ctx, key) {
+				c.notePosted(key)
 				c.count(func(s *Stats) { s.PostsConfirmed++ })
 				return true
 			}
@@ -65,23 +67,85 @@
 func (c *Caller) noteRefused(key string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.refused) < maxRefused {
+	if len(c.refused) < maxKeys {
 		c.refused = append(c.refused, key)
 	}
 }
 
 // ran reads from the ledger whether a posting ran.
 func (c *Caller) ran(ctx context.Context, key string) bool {
+	runs, ok := c.runs(ctx, key)
+	return ok && runs > 0
+}
+
+// runs reads from the ledger how often a posting ran; it reports false when there was no answer.
+func (c *Caller) runs(ctx context.Context, key string) (int, bool) {
 	for range maxAttempts {
 		m := withPath(codes.GET, target.PathLedger, nil)
 		carrier.AddOption(&m, carrier.OptionQuery, []byte(target.QueryKey+key))
 		out := c.do(ctx, core.ClassRead, m)
 		if out.Status == Answered {
-			return out.Reply.Runs > 0
+			return out.Reply.Runs, true
 		}
 		if ctx.Err() != nil || !c.comeBack(ctx, out) {
-			return false
+			break
 		}
 	}
-	return false
+	return 0, false
+}
+
+// notePosted remembers the key of a posting that ran.
+func (c *Caller) notePosted(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.posted) < maxKeys {
+		c.posted = append(c.posted, key)
+	}
+}
+
+// Audit is what the ledger says about a caller's postings.
+type Audit struct {
+	// Checked is the number of postings that the ledger was asked about with success.
+	Checked int `json:"checked"`
+	// Doubles counts runs beyond the first, Missing postings that were answered and did not run, and
+	// Untrue postings that were refused as not run and ran.
+	Doubles int `json:"doubles"`
+	Missing int `json:"missing"`
+	Untrue  int `json:"untrue"`
+}
+
+// Add adds the audit of another caller.
+func (a *Audit) Add(o Audit) {
+	a.Checked += o.Checked
+	a.Doubles += o.Doubles
+	a.Missing += o.Missing
+	a.Untrue += o.Untrue
+}
+
+// Audit asks the ledger, by way of the service, about the caller's postings: at most limit that were
+// answered and as many that were refused.
+func (c *Caller) Audit(ctx context.Context, limit int) Audit {
+	c.mu.Lock()
+	posted, refused := newest(c.posted, limit), newest(c.refused, limit)
+	c.mu.Unlock()
+	var a Audit
+	for _, key := range posted {
+		if runs, ok := c.runs(ctx, key); ok {
+			a.Checked++
+			a.Doubles += max(runs-1, 0)
+			a.Missing += max(1-runs, 0)
+		}
+	}
+	for _, key := range refused {
+		if runs, ok := c.runs(ctx, key); ok {
+			a.Checked++
+			a.Untrue += min(runs, 1)
+		}
+	}
+	return a
+}
+
+// newest returns a copy of the last n keys.
+func newest(keys []string, n int) []string {
+	return append([]string(nil), keys[max(len(keys)-n, 0):]...)
 }
