Keep attempt tokens and message ids of different VMs apart

A trace of the mismatched answers showed replies of a flow's first requests: processes that start within the same tenth of a second had equal incarnations and so equal attempt tokens, and a target that had seen a token from one VM repeated its stored answer to another VM. Message ids, derived from the token, would collide as well for targets that detect duplicates by caller and message id (RFC 7252, 4.2). Ruled out: crossed records in handovers (the answers came from targets), and a fault of the caller stand-in (the reply named the older request). Change: the upper half of a token is a hash of VM name and incarnation; message ids are those of the caller's packet plus a range per attempt.

--- a/core/action.go
+++ b/core/action.go
@@ -18,6 +18,9 @@
 	SendCancel
 )
 
+// RenewalAttempt is the Attempt of a feed's registration that no caller's packet asked for.
+const RenewalAttempt = 3
+
 // SendTarget sends an attempt of a request, or its cancellation, to a target.
 type SendTarget struct {
 	Target  TargetID
@@ -25,6 +28,9 @@
 	Addr    netip.AddrPort
 	Kind    SendKind
 	Token   AttemptToken
+	// Attempt numbers the sendings of a request by its owner, from 0; RenewalAttempt marks the
+	// registration of a feed by a VM, and the end of a feed.
+	Attempt uint8
 	Request Request
 	// Remaining is the time left until the request's deadline.
 	Remaining time.Duration
--- a/core/id.go
+++ b/core/id.go
@@ -82,13 +82,24 @@
 	Hi, Lo uint64
 }
 
-// AttemptToken identifies one sending of a request to a target. The upper half is the incarnation
-// of the sending VM, the lower half a counter.
+// AttemptToken identifies one sending of a request to a target. The upper half is the source, the
+// lower half a counter.
 type AttemptToken uint64
 
-// NewAttemptToken returns the token of the sending VM's attempt number n.
-func NewAttemptToken(inc Incarnation, n uint32) AttemptToken {
-	return AttemptToken(uint64(inc)<<32 | uint64(n))
+// AttemptSource identifies the process that sends an attempt.
+type AttemptSource uint32
+
+// NewAttemptSource returns the source for a process of a VM. The VM's name is part of it, because
+// processes of two VMs that start at the same moment have equal incarnations, and a target would
+// take an attempt with a token that it has seen for a repetition.
+func NewAttemptSource(vm VMName, inc Incarnation) AttemptSource {
+	b := binary.LittleEndian.AppendUint32([]byte(vm), uint32(inc))
+	return AttemptSource(xxhash.Sum64(b))
+}
+
+// NewAttemptToken returns the token of attempt number n of a source.
+func NewAttemptToken(source AttemptSource, n uint32) AttemptToken {
+	return AttemptToken(uint64(source)<<32 | uint64(n))
 }
 
 // HoldingNumber orders the successive holders of a target: the higher number is the newer holder.
--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -12,6 +12,7 @@
 // until cancelGrace after it was withdrawn.
 type attempt struct {
 	token  core.AttemptToken
+	number uint8
 	o      *owner
 	r      *request
 	addr   netip.AddrPort
@@ -24,12 +25,15 @@
 func (s *Shard) nextToken() core.AttemptToken {
 	n := s.opts.FirstToken + s.counter*s.opts.TokenStep
 	s.counter++
-	return core.NewAttemptToken(s.opts.Incarnation, n)
+	return core.NewAttemptToken(s.opts.Source, n)
 }
 
 // sendAttempt sends a request that has passed all checks.
 func (s *Shard) sendAttempt(o *owner, r *request) {
-	a := &attempt{token: s.nextToken(), o: o, r: r, addr: o.view.Target.Addr, sentAt: s.now}
+	a := &attempt{token: s.nextToken(), number: uint8(r.retries), o: o, r: r, addr: o.view.Target.Addr, sentAt: s.now}
+	if r.renewal {
+		a.number = core.RenewalAttempt
+	}
 	s.attempts[a.token] = a
 	o.flights = append(o.flights, a)
 	o.inFlight++
@@ -51,6 +55,7 @@
 		Addr:      a.addr,
 		Kind:      core.SendRequest,
 		Token:     a.token,
+		Attempt:   a.number,
 		Request:   r.req,
 		Remaining: r.deadline - s.now,
 	})
@@ -62,11 +67,11 @@
 		return
 	}
 	a.freeAt = s.now + cancelGrace
-	s.sendCancel(a.o, a.token, a.addr, &a.r.req)
+	s.sendCancel(a.o, a.token, a.number, a.addr, &a.r.req)
 }
 
 // sendCancel withdraws a token at the target, unless the target gets no packets any more.
-func (s *Shard) sendCancel(o *owner, token core.AttemptToken, addr netip.AddrPort, r *core.Request) {
+func (s *Shard) sendCancel(o *owner, token core.AttemptToken, number uint8, addr netip.AddrPort, r *core.Request) {
 	v := o.view
 	if v == nil || o.evicted(s.now) || s.now < v.NotBefore || v.Target.Service != r.Flow.Service {
 		return
@@ -77,6 +82,7 @@
 		Addr:    addr,
 		Kind:    core.SendCancel,
 		Token:   token,
+		Attempt: number,
 		Request: *r,
 	})
 }
--- a/core/traffic/feed.go
+++ b/core/traffic/feed.go
@@ -84,7 +84,7 @@
 func (s *Shard) registered(a *attempt, m core.TargetAnswer) {
 	fd, o := a.feed, a.o
 	if fd.ended {
-		s.sendCancel(o, a.token, a.addr, &fd.req)
+		s.sendCancel(o, a.token, core.RenewalAttempt, a.addr, &fd.req)
 		return
 	}
 	if m.Status != core.AnswerNotification {
@@ -94,11 +94,11 @@
 	}
 	if old := o.feeds.m[fd.req.Flow]; old != nil && old != fd {
 		s.forgetFeed(old)
-		s.sendCancel(o, old.token, old.addr, &old.req)
+		s.sendCancel(o, old.token, core.RenewalAttempt, old.addr, &old.req)
 	}
 	if fd.token != 0 && fd.token != a.token {
 		delete(s.feeds, fd.token)
-		s.sendCancel(o, fd.token, a.addr, &fd.req)
+		s.sendCancel(o, fd.token, core.RenewalAttempt, a.addr, &fd.req)
 	}
 	fd.token = a.token
 	fd.addr = a.addr
@@ -152,7 +152,7 @@
 	}
 	s.forgetFeed(fd)
 	if fd.token != 0 {
-		s.sendCancel(o, fd.token, fd.addr, &fd.req)
+		s.sendCancel(o, fd.token, core.RenewalAttempt, fd.addr, &fd.req)
 	}
 }
 
--- a/core/traffic/handover_test.go
+++ b/core/traffic/handover_test.go
@@ -168,7 +168,7 @@
 		former := f.former
 		f.former = nil
 		f.release(2, "a", 2)
-		f.vms["b"] = New(Options{Self: "b", Incarnation: 2})
+		f.vms["b"] = New(Options{Self: "b", Source: 2})
 		f.publishTo("b")
 		f.former = former
 		f.publishTo("a")
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -14,8 +14,9 @@
 
 // Options configures a shard.
 type Options struct {
-	Self        core.VMName
-	Incarnation core.Incarnation
+	Self core.VMName
+	// Source distinguishes the attempts of this process from those of all others.
+	Source core.AttemptSource
 	// FirstToken and TokenStep keep the attempt tokens of the shards of one VM apart.
 	FirstToken, TokenStep uint32
 	// Seed makes jitter reproducible.
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -29,7 +29,7 @@
 	authUntil  map[core.VMName]time.Duration
 	isolated   core.VMName
 	rejoinAt   int
-	incarnates core.Incarnation
+	incarnates core.AttemptSource
 	failure    string
 }
 
@@ -165,7 +165,7 @@
 	}
 	vm := core.VMName("")
 	for _, n := range w.names {
-		if core.AttemptToken(w.vms[n].opts.Incarnation) == s.Token>>32 {
+		if core.AttemptToken(w.vms[n].opts.Source) == s.Token>>32 {
 			vm = n
 		}
 	}
@@ -253,7 +253,7 @@
 		return
 	}
 	w.incarnates++
-	w.vms[n] = New(Options{Self: n, Incarnation: w.incarnates, TokenStep: 1})
+	w.vms[n] = New(Options{Self: n, Source: w.incarnates, TokenStep: 1})
 	held := w.held
 	w.held = nil
 	for _, m := range held {
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -30,11 +30,11 @@
 	v := &VM{self: opts.Control.Self, control: control.New(opts.Control)}
 	for i := range n {
 		v.shards = append(v.shards, traffic.New(traffic.Options{
-			Self:        opts.Control.Self,
-			Incarnation: opts.Control.Incarnation,
-			FirstToken:  uint32(i),
-			TokenStep:   uint32(n),
-			Seed:        opts.Control.Seed + uint64(i),
+			Self:       opts.Control.Self,
+			Source:     core.NewAttemptSource(opts.Control.Self, opts.Control.Incarnation),
+			FirstToken: uint32(i),
+			TokenStep:  uint32(n),
+			Seed:       opts.Control.Seed + uint64(i),
 		}))
 	}
 	return v
--- a/internal/carrier/target.go
+++ b/internal/carrier/target.go
@@ -9,6 +9,7 @@
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 
 	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/rendezvous"
 )
 
 // AppendSend appends the datagram for an action towards a target to dst: the request, or its
@@ -31,7 +32,7 @@
 	if !isRequest(m.Code) {
 		return dst, fail(KindUnexpected, "%v as a request to a target", m.Code)
 	}
-	address(&m, a.Token)
+	addressAttempt(&m, a)
 	SetOptionUint(&m, OptionDeadline, remainingMillis(a.Remaining))
 	return AppendDatagram(dst, towardsTarget(a, service), &m)
 }
@@ -40,15 +41,16 @@
 // request with Observe 1 (RFC 7641, 3.6), for any other request a reset with its message id. A target
 // that complies answers with the attempt token and Report.Cancelled.
 func AppendCancel(dst []byte, a *core.SendTarget, service netip.AddrPort) ([]byte, error) {
-	if a.Request.Method != core.MethodSubscribe {
-		m := message.Message{Type: message.Reset, Code: codes.Empty, MessageID: int32(messageID(a.Token))}
-		return AppendDatagram(dst, towardsTarget(a, service), &m)
-	}
 	m, err := ParseMessage(a.Request.Payload)
 	if err != nil {
 		return dst, err
 	}
-	address(&m, a.Token)
+	if a.Request.Method != core.MethodSubscribe {
+		id := attemptMessageID(uint16(m.MessageID), a)
+		m = message.Message{Type: message.Reset, Code: codes.Empty, MessageID: int32(id)}
+		return AppendDatagram(dst, towardsTarget(a, service), &m)
+	}
+	addressAttempt(&m, a)
 	RemoveOption(&m, OptionDeadline)
 	SetOptionUint(&m, OptionObserve, ObserveDeregister)
 	return AppendDatagram(dst, towardsTarget(a, service), &m)
@@ -74,15 +76,38 @@
 	return Header{Source: a.Request.Flow.CallerAddr(), Destination: service}
 }
 
-// address gives a message the type, token and message id of an attempt.
+// addressAttempt gives a message the type, token and message id of an attempt.
+func addressAttempt(m *message.Message, a *core.SendTarget) {
+	id := attemptMessageID(uint16(m.MessageID), a)
+	address(m, a.Token)
+	m.MessageID = int32(id)
+}
+
+// address gives a message of the VM's own the type, token and message id of an attempt.
 func address(m *message.Message, token core.AttemptToken) {
 	m.Type = message.NonConfirmable
 	m.Token = binary.BigEndian.AppendUint64(nil, uint64(token))
 	m.MessageID = int32(messageID(token))
 }
 
-// messageID derives a message id from an attempt token. Targets tell attempts apart by the token,
-// because message ids repeat after 65,536 attempts of a VM.
+// Ranges of message ids, relative to that of the caller's packet.
+const (
+	attemptStep  = 0x4000
+	renewalRange = 0x2000
+)
+
+// attemptMessageID derives the message id of an attempt from that of the caller's packet. Targets
+// detect duplicates by caller and message id for some minutes (RFC 7252, 4.2), so the ids of a flow's
+// attempts must differ whichever VMs send them. The caller's own ids differ already; each further
+// attempt has a range of its own, far from the ids that the caller uses meanwhile.
+func attemptMessageID(caller uint16, a *core.SendTarget) uint16 {
+	if a.Attempt < core.RenewalAttempt {
+		return caller + uint16(a.Attempt)*attemptStep
+	}
+	return caller + core.RenewalAttempt*attemptStep + uint16(rendezvous.Mix(uint64(a.Token), 0))%renewalRange
+}
+
+// messageID derives a message id for a VM's own requests, such as probes.
 func messageID(token core.AttemptToken) uint16 {
 	return uint16(token) ^ uint16(token>>32)
 }
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -145,7 +145,7 @@
 	}
 	r.expire()
 	r.next++
-	token := core.NewAttemptToken(r.opts.Incarnation, r.next)
+	token := core.NewAttemptToken(core.AttemptSource(r.opts.Incarnation), r.next)
 	if isFeed {
 		r.feeds[key] = token
 	}
