Tell confirmed ingress notes from guesses

An ingress VM notes the only candidate of a new flow without an answer of its owner. The randomized test found such a note, made while the owner was isolated, that a new owner took as proof: the flow was on another target. Only notes that an owner sent are claims now. A guess still saves the computation of candidates while the target sets do not change.

--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -97,10 +97,14 @@
 			return e.target
 		}
 	}
-	if e := s.notes.get(&flow); e != nil && e.seen&guessFlag == 0 && e.idle(s.now) <= core.FlowIdle {
-		return e.target
+	e := s.notes.get(&flow)
+	if e == nil || e.idle(s.now) > core.FlowIdle {
+		return 0
 	}
-	return 0
+	if e.seen&guessFlag != 0 && slices.Contains(s.candidates(flow), e.target) {
+		return 0
+	}
+	return e.target
 }
 
 // onReply sends the waiting requests of a flow to its target and confirms redirects.
--- a/core/traffic/routing.go
+++ b/core/traffic/routing.go
@@ -160,10 +160,7 @@
 	}
 	f.Generation = s.snap.Config.Generation
 	s.watch(&r)
-	if e := s.notes.get(&r.Flow); e != nil && s.view(e.target) != nil {
-		e.use(s.now)
-		f.Target = e.target
-		f.Known = true
+	if s.routeByNote(f) {
 		s.dispatch(f)
 		return
 	}
@@ -175,12 +172,40 @@
 	f.Target = c[0]
 	f.Trail = c[1:]
 	f.Cleared = true
-	if len(c) == 1 && r.Method != core.MethodCancel {
+	if len(c) == 1 && r.Method != core.MethodCancel && s.notes.get(&r.Flow) == nil {
 		s.notes.put(r.Flow, c[0], s.now).seen |= guessFlag
 	}
 	s.dispatch(f)
 }
 
+// routeByNote fills in the target of a known flow. It reports false when the candidates have to be
+// computed: a guess is no more than the only candidate of its time.
+func (s *Shard) routeByNote(f *core.ForwardRequest) bool {
+	e := s.notes.get(&f.Request.Flow)
+	if e == nil || s.view(e.target) == nil {
+		return false
+	}
+	e.use(s.now)
+	f.Target = e.target
+	if e.seen&guessFlag == 0 {
+		f.Known = true
+		return true
+	}
+	if !s.setsChanged(f.Request.Flow.Service) {
+		f.Cleared = true
+		return true
+	}
+	// A flow that is older than the former sets is not found by its candidates.
+	f.Known = !slices.Contains(s.candidates(f.Request.Flow), e.target)
+	return f.Known
+}
+
+// setsChanged reports whether the service's targets changed within FlowIdle.
+func (s *Shard) setsChanged(id core.ServiceID) bool {
+	c := s.sets[id]
+	return c != nil && len(c.former) > 0 && s.now-c.former[0].ReplacedAt <= core.FlowIdle
+}
+
 // dispatch sends a request to the holder of its target, or keeps it until there is one.
 func (s *Shard) dispatch(f *core.ForwardRequest) {
 	holder := s.holderOf(f.Target)
--- a/core/traffic/table.go
+++ b/core/traffic/table.go
@@ -23,13 +23,10 @@
 const (
 	// probedFlag marks a redirect whose target's holder was asked whether the flow still exists.
 	probedFlag = 1
-	// guessFlag marks a note that the owner had no time to correct yet.
+	// guessFlag marks a note that no owner has confirmed: the flow's only candidate at the time.
 	guessFlag = 1
 )
 
-// guessTime is the time in which an owner corrects a note, in units of seenUnit.
-const guessTime = 10
-
 const chunkEntries = 512
 
 // flowTable maps flows to entries. It is an open-addressing index over chunks of entries: the index
@@ -50,15 +47,8 @@
 // toSeen converts a time to a flowEntry's seen value.
 func toSeen(now time.Duration) uint32 { return uint32(now/seenUnit) << 1 }
 
-// use notes a packet of a flow in an ingress note. A guess stays one until packets that are
-// guessTime apart show that the owner did not correct it.
-func (e *flowEntry) use(now time.Duration) {
-	seen := toSeen(now)
-	if e.seen&guessFlag != 0 && seen>>1-e.seen>>1 < guessTime {
-		return
-	}
-	e.seen = seen
-}
+// use notes a packet of a flow and keeps the flag.
+func (e *flowEntry) use(now time.Duration) { e.seen = toSeen(now) | e.seen&1 }
 
 // idle returns the time since the entry's last packet.
 func (e *flowEntry) idle(now time.Duration) time.Duration {
