Add the parts of the demo that need no daemon

Cause: the demo command shows a zone that leaves and returns, a replaced entry VM and a cold target, judged by callers and targets. Ruled out: an excuse for flows as long as a zone is out only, since a flow that sends nothing in that time learns of the move later; callers now say since when they have not heard from a target. Change: internal/demo with World, events, live table and summary; entry VMs are plugged in through Entry and EntryFactory. The baseline relay uses rendezvous hashing, so that it moves only the flows of a zone that leaves.

--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,148 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/standin/caller"
+	"github.com/mangoweir/mangoweir/internal/standin/relay"
+)
+
+// testConfig has two zones, a service with three targets per zone and one with a single target.
+func testConfig() *core.Config {
+	cfg := &core.Config{Zones: []core.Zone{{Name: "ut"}, {Name: "dt"}}}
+	for _, name := range []string{"pleinwacht", "fotoboek"} {
+		s := core.Service{ID: core.NewServiceID(name), Name: name}
+		for i := range 6 {
+			t := core.Target{ID: core.NewTargetID(name, fmt.Sprint(i), "1"), Name: fmt.Sprintf("%s-%d", name, i),
+				Zone: cfg.Zones[i/3].Name, Slots: 50, Connections: 100, Weight: 1, ReportsLoad: true}
+			if name == "pleinwacht" || i == 0 {
+				s.Targets = append(s.Targets, t)
+			}
+		}
+		cfg.Services = append(cfg.Services, s)
+	}
+	return cfg
+}
+
+// sharedRelay is one relay that stands for all entry VMs: relays do not know each other's feeds.
+type sharedRelay struct {
+	*relay.Relay
+	name string
+}
+
+func (r sharedRelay) Name() string               { return r.name }
+func (r sharedRelay) Stop(context.Context) error { return nil }
+func (r sharedRelay) Kill()                      {}
+
+// newWorld starts a World in front of a relay that leaves zones which are out.
+func newWorld(t *testing.T) *World {
+	var w *World
+	var out atomic.Bool
+	var shared *relay.Relay
+	addrs := func(service netip.AddrPort) (addrs []netip.AddrPort) {
+		for _, s := range w.Config().Services {
+			for _, t := range s.Targets {
+				if s.Addr == service && !(out.Load() && t.Zone == "dt") {
+					addrs = append(addrs, t.Addr)
+				}
+			}
+		}
+		return addrs
+	}
+	w, err := NewWorld(Options{
+		Config: testConfig(),
+		NewEntry: func(_ context.Context, spec EntrySpec) (Entry, error) {
+			if shared == nil {
+				r, err := relay.Start(relay.Options{Return: spec.Return, Targets: addrs, Incarnation: 1})
+				if err != nil {
+					return nil, err
+				}
+				shared = r
+			}
+			return sharedRelay{shared, string(spec.Name)}, nil
+		},
+		SetZone: func(_ context.Context, _ core.ZoneName, state core.ZoneState) error {
+			out.Store(state == core.ZoneOut)
+			return nil
+		},
+		Traffic: []Traffic{
+			{"pleinwacht", 30, caller.Plan{Feed: true, ReadEvery: 50 * time.Millisecond, PostEvery: 200 * time.Millisecond}},
+			{"fotoboek", 2, caller.Plan{UploadEvery: time.Second, UploadSize: 10_000}},
+		},
+		FeedInterval: 100 * time.Millisecond,
+		Seed:         11,
+	})
+	So(err, ShouldBeNil)
+	So(w.StartEntries(t.Context()), ShouldBeNil)
+	So(w.StartCallers(t.Context()), ShouldBeNil)
+	Reset(func() {
+		w.Close()
+		shared.Kill()
+	})
+	return w
+}
+
+// zoneEvent returns an event that changes the state of zone dt.
+func zoneEvent(at time.Duration, state core.ZoneState) Event {
+	return Event{at, "zone", func(ctx context.Context, w *World) error { return w.SetZone(ctx, "dt", state) }}
+}
+
+// Guards against a demo that counts broken promises where there are none, or sees none where there are.
+func TestWorld(t *testing.T) {
+	Convey("Without faults nothing is broken, also when a zone leaves", t, func() {
+		w := newWorld(t)
+		var table, text bytes.Buffer
+		script := []Event{zoneEvent(2500*time.Millisecond, core.ZoneOut), {2900 * time.Millisecond, "replaced", func(ctx context.Context, w *World) error {
+			return w.ReplaceEntry(ctx, w.Entries("ut")[0])
+		}}}
+		s, err := w.Run(t.Context(), script, 4*time.Second, &table)
+		So(err, ShouldBeNil)
+		So(s.WriteText(&text), ShouldBeNil)
+		Println(table.String(), text.String())
+		So(s.Check(), ShouldBeNil)
+		So([]any{s.OpenFlows, s.Moved > 0, s.UploadsDone > 2, s.Silent, s.Refused}, ShouldResemble, []any{32, true, true, uint64(0), uint64(0)})
+		So(s.Imbalance, ShouldBeBetween, 1, 3)
+		So(s.Goodput, ShouldEqual, 1)
+		So(table.String(), ShouldContainSubstring, "replaced")
+		So(len(w.Entries("ut")), ShouldEqual, 2)
+		So(json.NewEncoder(&text).Encode(s), ShouldBeNil)
+	})
+	Convey("Flows that go back to a zone, doubles and cold targets above their bound are seen", t, func() {
+		w := newWorld(t)
+		script := []Event{zoneEvent(time.Second, core.ZoneOut), zoneEvent(2*time.Second, core.ZoneIn),
+			{2500 * time.Millisecond, "cold", func(_ context.Context, w *World) error {
+				w.targets[0].ledger.Record("key")
+				w.targets[0].ledger.Record("key")
+				return w.TurnCold("pleinwacht-0")
+			}},
+		}
+		s, err := w.Run(t.Context(), script, 4*time.Second, &bytes.Buffer{})
+		So(err, ShouldBeNil)
+		So(s.BrokenMoved, ShouldBeGreaterThan, 0)
+		So(s.Doubles, ShouldEqual, 1)
+		So(s.ColdBreaches, ShouldBeGreaterThan, 0)
+		var broken *BrokenPromiseError
+		So(errors.As(s.Check(), &broken), ShouldBeTrue)
+		So(len(broken.Promises), ShouldEqual, 3)
+	})
+	Convey("A failed event fails the run, and missing options are refused", t, func() {
+		w := newWorld(t)
+		failure := errors.New("refused")
+		s, err := w.Run(t.Context(), []Event{{0, "fails", func(context.Context, *World) error { return failure }}}, time.Second, &bytes.Buffer{})
+		So(err, ShouldEqual, failure)
+		So(s.Answered, ShouldBeGreaterThan, 0)
+		_, err = NewWorld(Options{})
+		So(err, ShouldNotBeNil)
+	})
+}
--- /dev/null
+++ b/internal/demo/options.go
@@ -0,0 +1,87 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/standin/caller"
+)
+
+// Options configures a World.
+type Options struct {
+	// Config is the deployment. Its addresses are replaced by free ones on loopback.
+	Config *core.Config
+	// EntriesPerZone is the number of entry VMs per zone; default 2.
+	EntriesPerZone int
+	// NewEntry starts an entry VM.
+	NewEntry EntryFactory
+	// SetZone has the state of a zone accepted, as the operator's command does. It returns when the
+	// change is accepted.
+	SetZone func(ctx context.Context, zone core.ZoneName, state core.ZoneState) error
+	// Traffic says what callers do; default DefaultTraffic.
+	Traffic []Traffic
+	// ServiceTime is the mean service time of targets per class; default DefaultServiceTime.
+	ServiceTime [core.NumClasses]time.Duration
+	// FeedInterval is the time between notifications of a feed; default 500 ms.
+	FeedInterval time.Duration
+	// SilenceLimit is the silence after which a feed counts as broken; default 5 s.
+	SilenceLimit time.Duration
+	Seed         uint64
+}
+
+// Traffic is a group of callers of a service.
+type Traffic struct {
+	Service string
+	Callers int
+	Plan    caller.Plan
+}
+
+// DefaultServiceTime is the service time of targets in a demo.
+var DefaultServiceTime = [core.NumClasses]time.Duration{
+	core.ClassFeed:    5 * time.Millisecond,
+	core.ClassRead:    20 * time.Millisecond,
+	core.ClassPosting: 20 * time.Millisecond,
+	core.ClassUpload:  4 * time.Millisecond,
+}
+
+// DefaultTraffic has callers of the first service hold feeds, read and post, and callers of the others
+// upload.
+func DefaultTraffic(cfg *core.Config) []Traffic {
+	var traffic []Traffic
+	for i, s := range cfg.Services {
+		t := Traffic{Service: s.Name, Callers: 12, Plan: caller.Plan{UploadEvery: 4 * time.Second, UploadSize: 200_000}}
+		if i == 0 {
+			t.Callers = 120
+			t.Plan = caller.Plan{Feed: true, ReadEvery: 700 * time.Millisecond, PostEvery: 1500 * time.Millisecond}
+		}
+		traffic = append(traffic, t)
+	}
+	return traffic
+}
+
+// withDefaults fills in the defaults and checks what has none.
+func (o Options) withDefaults() (Options, error) {
+	if o.Config == nil || len(o.Config.Services) == 0 || len(o.Config.Zones) == 0 {
+		return o, errors.New("demo: the configuration has no service or no zone; declare both")
+	}
+	if o.NewEntry == nil || o.SetZone == nil {
+		return o, errors.New("demo: NewEntry or SetZone is missing; set both")
+	}
+	if o.EntriesPerZone <= 0 {
+		o.EntriesPerZone = 2
+	}
+	if o.Traffic == nil {
+		o.Traffic = DefaultTraffic(o.Config)
+	}
+	for c := range o.ServiceTime {
+		if o.ServiceTime[c] <= 0 {
+			o.ServiceTime[c] = DefaultServiceTime[c]
+		}
+	}
+	if o.SilenceLimit <= 0 {
+		o.SilenceLimit = 5 * time.Second
+	}
+	return o, nil
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -30,8 +30,10 @@
 	issued  uint32
 	nextMID uint16
 	waiting map[uint32]*exchange
-	// lastTarget and lastZone are where the flow is, as far as answers told.
+	// lastTarget and lastZone are where the flow is, as far as answers told; lastHeard is when the
+	// target's last answer came.
 	lastTarget, lastZone string
+	lastHeard            time.Time
 	posted, refused      []string
 	posts, uploads       int
 }
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -136,7 +136,7 @@
 		for _, excused := range []bool{false, true} {
 			s := newSite(target.Options{FeedInterval: 10 * time.Millisecond})
 			opts := fast
-			opts.Excused = func(string, string) bool { return excused }
+			opts.Excused = func(string, string, time.Time) bool { return excused }
 			c := s.caller(opts)
 			ctx, cancel := context.WithCancel(t.Context())
 			go c.Watch(ctx)
@@ -153,7 +153,7 @@
 			other, err := target.Start(target.Options{Name: "b"})
 			So(err, ShouldBeNil)
 			Reset(other.Close)
-			c := s.caller(Options{Excused: func(name, _ string) bool { return name == excused }})
+			c := s.caller(Options{Excused: func(name, _ string, _ time.Time) bool { return name == excused }})
 			c.Read(t.Context())
 			s.current.Store(other)
 			c.Read(t.Context())
--- a/internal/standin/caller/feed.go
+++ b/internal/standin/caller/feed.go
@@ -96,13 +96,13 @@
 	f.checkSilence(now)
 }
 
-// checkSilence counts a feed as broken once per silence. A target that may be left is excused: its
-// silence starts when it no longer is.
+// checkSilence counts a feed as broken once per silence. The silence of a target that flows
+// have to leave begins when they no longer have to.
 func (f *feed) checkSilence(now time.Time) {
 	if !f.open || f.silenceCounted {
 		return
 	}
-	if f.c.opts.Excused(f.last.Target, f.last.Zone) {
+	if f.c.opts.Excused(f.last.Target, f.last.Zone, now) {
 		f.silentSince = now
 		return
 	}
--- a/internal/standin/caller/options.go
+++ b/internal/standin/caller/options.go
@@ -24,9 +24,9 @@
 	RenewAfter time.Duration
 	// SilenceLimit is the silence after which a feed counts as broken; default 5 s.
 	SilenceLimit time.Duration
-	// Excused reports whether flows may leave the target now, because its zone was taken out or
-	// because it was removed; default never. It must not call the Caller.
-	Excused func(target, zone string) bool
+	// Excused reports whether flows may have left the target at some time after since, because its zone
+	// was taken out or because it was removed; default never. It must not call the Caller.
+	Excused func(target, zone string, since time.Time) bool
 	// OnOutcome is called with the outcome of each request, from several goroutines; optional.
 	OnOutcome func(core.Class, Outcome)
 	// Seed decides about backoff and pauses.
@@ -44,7 +44,7 @@
 	setDefault(&o.RenewAfter, 1500*time.Millisecond)
 	setDefault(&o.SilenceLimit, 5*time.Second)
 	if o.Excused == nil {
-		o.Excused = func(string, string) bool { return false }
+		o.Excused = func(string, string, time.Time) bool { return false }
 	}
 	if o.OnOutcome == nil {
 		o.OnOutcome = func(core.Class, Outcome) {}
--- a/internal/standin/caller/receive.go
+++ b/internal/standin/caller/receive.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
 
@@ -61,21 +62,19 @@
 }
 
 // learnTarget notes where the flow is, and counts it as broken when it moved without need. Answers of
-// targets that the flow may leave are late ones.
+// targets that flows have to leave are late ones.
 func (c *Caller) learnTarget(r target.Reply) {
-	if r.Target == c.lastTarget {
-		return
-	}
-	if c.lastTarget != "" {
-		if c.opts.Excused(r.Target, r.Zone) {
+	now := time.Now()
+	if c.lastTarget != "" && r.Target != c.lastTarget {
+		if c.opts.Excused(r.Target, r.Zone, now) {
 			return
 		}
-		if c.opts.Excused(c.lastTarget, c.lastZone) {
+		if c.opts.Excused(c.lastTarget, c.lastZone, c.lastHeard) {
 			c.stats.Moved++
 		} else {
 			c.stats.Broken++
 			c.stats.BrokenMoved++
 		}
 	}
-	c.lastTarget, c.lastZone = r.Target, r.Zone
+	c.lastTarget, c.lastZone, c.lastHeard = r.Target, r.Zone, now
 }
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay is the simplest entry VM: it sends each request to a target chosen by a hash of the
-// flow and knows neither other VMs nor limits, retries or repeated requests.
+// Package relay is the simplest entry VM: it sends each request to a target chosen by rendezvous
+// hashing of the flow and knows neither other VMs nor limits, retries or repeated requests.
 //
 // It is the baseline for figures of the real system and lets the other stand-ins be tested without
 // it. A Relay owns its socket and the table of attempts.
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/rendezvous"
 	"github.com/mangoweir/mangoweir/internal/carrier"
 )
 
@@ -118,7 +119,7 @@
 		r.refuse(req, service)
 		return
 	}
-	target := targets[req.Flow.Hash()%uint64(len(targets))]
+	target := targets[pick(req.Flow, targets)]
 	token := r.token(req, target)
 	r.attempts[token] = &attempt{req: req, service: service, target: target,
 		expires: time.Now().Add(core.RequestLifetime)}
@@ -133,6 +134,15 @@
 	}
 }
 
+// pick returns the index of a flow's target.
+func pick(flow core.FlowKey, targets []netip.AddrPort) int {
+	hashes := make([]uint64, len(targets))
+	for i, t := range targets {
+		hashes[i] = rendezvous.HashString(t.String())
+	}
+	return rendezvous.Pick(flow.Hash(), hashes, nil)
+}
+
 // token returns the token of an attempt. A feed that is registered again at the same target keeps its
 // token.
 func (r *Relay) token(req core.Request, target netip.AddrPort) core.AttemptToken {
