--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,8 @@
 func (a *app) commands() []*cobra.Command {
 	return []*cobra.Command{
 		a.newServe(),
+		a.newDemo(),
+		NewLoadCommand(),
 		a.newCheck(),
 		a.newApply(),
 		a.newGet(),
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -17,9 +17,10 @@
 	var services []string
 	var asJSON bool
 	cmd := &cobra.Command{
-		Use:   "load --service ADDRESS:PORT...",
-		Short: "Send requests to services and summarize the answers",
-		Args:  cobra.NoArgs,
+		Use:     "load --service ADDRESS:PORT...",
+		Short:   "Send requests to services and summarize the answers",
+		Example: "  mangoweir load --service 127.2.0.1:5683 --feeds 20 --reads 50 --postings 20 --duration 10s",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			addrs, err := parseAddrs(services)
 			if err != nil {
