--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -164,6 +164,10 @@
 
 // onSnapshot installs a snapshot and reconsiders everything that waits for one.
 func (s *Shard) onSnapshot(snap *core.Snapshot) {
+	if snap.Config == nil {
+		// A VM that has just started knows peers before it knows the configuration.
+		return
+	}
 	// A snapshot that arrives as the first input after a pause may be older than the pause.
 	s.lapsed = s.jumped
 	s.snap = snap
--- a/core/traffic/traffic_test.go
+++ b/core/traffic/traffic_test.go
@@ -136,3 +136,14 @@
 		})
 	})
 }
+
+// Guards against a crash of a VM that gets callers' packets before it has a configuration.
+func TestSnapshotWithoutConfig(t *testing.T) {
+	Convey("A request is refused while there is no configuration", t, func() {
+		s := New(Options{Self: "a", Source: 1, TokenStep: 1})
+		s.Handle(core.SnapshotPublished{Snapshot: &core.Snapshot{Self: "a"}}, 0, nil)
+		out := s.Handle(core.CallerRequest{Request: core.Request{Idempotent: true}}, 1, nil)
+		So(len(out), ShouldEqual, 1)
+		So(out[0], ShouldHaveSameTypeAs, core.RefuseCaller{})
+	})
+}
