Keep one owner per target under partitions and late reports

Random faults showed several ways to two VMs with authority over one target: an older member list whose holder the new first VM had not heard; two VMs that removed each other in turn while cut off from each other only; a handover by a VM that had been replaced without knowing it; a report of a shard that was under way when the target was dropped.

Only members, or members of other zones in service, change a member list that names a VM that may be alive. A VM that hears less than half of the members lets the others act first. A target received from a VM that may have been replaced is proven by acknowledgements before use. Handover numbers stay below those of takeovers in newer epochs. Letting the sender check instead was ruled out: it can't know what others heard.

--- a/core/control/authority.go
+++ b/core/control/authority.go
@@ -83,6 +83,7 @@
 		return
 	}
 	n := confirmation{at: p.sentNotBefore - m.ConfirmAge, generation: m.Generation, epochs: m.Epochs}
+	p.confirmedAt = n.at
 	c.zones.all(func(name core.ZoneName, z *zone) bool {
 		if z.epoch == 0 && epochOf(m.Epochs, name) == 0 {
 			z.noneAt = max(z.noneAt, n.at)
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -25,6 +25,9 @@
 	pulledAt time.Duration
 	pulling  core.Generation
 	services map[core.ServiceID]*service
+	// early holds reports about targets that no installed configuration names yet. A handover may
+	// reach a VM that has just started before its configuration does.
+	early map[core.TargetID]core.HolderChanged
 	// leavingHosts are the entries of the platform's list that are leaving.
 	leavingHosts []core.ListedVM
 }
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -61,6 +61,7 @@
 	c.zones = newTable[core.ZoneName, *zone]()
 	c.targets = newTable[core.TargetID, *target]()
 	c.config.services = make(map[core.ServiceID]*service)
+	c.config.early = make(map[core.TargetID]core.HolderChanged)
 	c.authority.drop()
 	return c
 }
--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -70,6 +70,8 @@
 	// held is true while this VM holds the target, under number.
 	held   bool
 	number core.HoldingNumber
+	// dropped is the highest number under which this VM had to drop the target.
+	dropped core.HoldingNumber
 	// highest is the highest number heard of.
 	highest core.HoldingNumber
 	// claim is the best present claim of a peer; former the best ever heard.
@@ -345,6 +347,7 @@
 		}
 	}
 	if !same {
+		c.hasNews()
 		c.touch(changeStructure)
 		c.updateHolders()
 	}
@@ -409,34 +412,70 @@
 func (c *Control) onHolderChanged(r core.HolderChanged) {
 	t := c.targets.get(r.Target)
 	if t == nil {
+		c.config.early[r.Target] = r
 		return
 	}
 	h := &t.holding
 	h.highest = max(h.highest, r.Number)
 	if r.Holder == c.opts.Self {
-		c.noteOwnHolding(h, r.Number)
+		c.noteOwnHolding(t, r.Number)
 	} else if !h.held || r.Number >= h.number {
 		c.noteLostHolding(h, r)
 	}
 	c.touch(changeStructure)
 	c.hasNews()
+	c.updateHolders()
 }
 
-// noteOwnHolding records that a shard of this VM holds a target. A higher number than before was
-// received by handover, which leaves no former holder to wait for.
-func (c *Control) noteOwnHolding(h *holding, number core.HoldingNumber) {
+// noteOwnHolding records that a shard of this VM holds a target. A target received by handover can be
+// used at once if its sender was certainly its rightful holder.
+func (c *Control) noteOwnHolding(t *target, number core.HoldingNumber) {
+	h := &t.holding
 	if h.held && number < h.number {
 		return
 	}
-	if !h.held || number > h.number {
-		h.take = nil
-		c.emit(core.Event{Kind: core.EventHandoverDone, VM: c.opts.Self, Value: uint64(number)})
+	if number <= h.dropped {
+		// The report was under way when the shard was told to drop the target.
+		c.drop(t, h.former)
+		return
 	}
+	received := !h.held || number > h.number
 	if h.release != nil {
 		c.endRelease(h)
 	}
 	h.held = true
 	h.number = number
+	if !received {
+		return
+	}
+	c.emit(core.Event{Kind: core.EventHandoverDone, VM: c.opts.Self, Target: t.id, Value: uint64(number)})
+	h.take = nil
+	if h.claim.beats(claim{vm: c.opts.Self, number: number}) {
+		c.drop(t, h.claim)
+		return
+	}
+	if !c.rightful(t) {
+		c.prove(t)
+	}
+}
+
+// rightful reports whether the VM that handed a target over had authority over it. A VM that was cut
+// off may not know that another one has replaced it.
+func (c *Control) rightful(t *target) bool {
+	h := &t.holding
+	p := c.peers.get(h.former.vm)
+	if p == nil || h.claim.vm != "" && h.claim.vm != p.name {
+		return false
+	}
+	if h.foreign {
+		return !slices.ContainsFunc(h.electors, func(e elector) bool {
+			return c.heardUntil(core.Member{Name: e.name, Incarnation: e.incarnation}) <= c.now
+		})
+	}
+	if !c.mayBeMember(p, p.incarnation) {
+		return false
+	}
+	return p.confirmedAt+core.ConfirmTTL > c.now || c.outageAuthority() > c.now
 }
 
 // noteLostHolding records that no shard of this VM holds a target any more.
@@ -460,21 +499,21 @@
 	if r := h.release; r != nil && r.to == h.claim.vm && c.now-r.at < dropGrace {
 		return
 	}
+	c.drop(t, h.claim)
+}
+
+// drop tells the shard that another VM holds the target.
+func (c *Control) drop(t *target, by claim) {
+	h := &t.holding
+	h.dropped = max(h.dropped, h.number)
 	h.held = false
 	h.take = nil
 	h.release = nil
-	c.emit(core.ToShard{Target: t.id, Input: core.Drop{Target: t.id, Holder: h.claim.vm, Number: h.claim.number}})
+	c.emit(core.ToShard{Target: t.id, Input: core.Drop{Target: t.id, Holder: by.vm, Number: by.number}})
 	c.touch(changeStructure)
 	c.hasNews()
 }
 
-// nextNumber returns the holding number for the next holder of a target.
-func (c *Control) nextNumber(t *target) core.HoldingNumber {
-	const countBits = 16
-	base := core.HoldingNumber(c.zone(t.target.Zone).epoch) << countBits
-	return max(t.holding.highest+1, base)
-}
-
 // considerRelease hands a target over to the VM that should hold it.
 func (c *Control) considerRelease(t *target) {
 	h := &t.holding
@@ -488,7 +527,9 @@
 	if !c.releaseDue(t) || c.releases() >= maxReleases {
 		return
 	}
-	h.highest = c.nextNumber(t)
+	// The number stays below those of takeovers in newer epochs: a VM that was replaced without
+	// knowing it must not hand over a better claim than its successor's.
+	h.highest++
 	h.release = &release{to: h.desired, number: h.highest}
 	c.tellRelease(t)
 	c.emit(core.Event{Kind: core.EventHandoverStarted, VM: h.desired, Zone: t.target.Zone, Target: t.id})
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -11,10 +11,18 @@
 const (
 	// joinAfter is the time for which a VM has to be heard before it becomes a member.
 	joinAfter = time.Second
-	// orphanAfter is the silence after which a VM that the members do not know removes them. A
-	// cut-off member keeps authority while it hears all members that it knows, so a VM that it
-	// does not know must not replace it soon.
-	orphanAfter = 30 * time.Second
+	// foreignRemoval is the silence after which VMs of other zones remove the members of a zone of
+	// which no member is heard. It is long, as a zone that is cut off for a short time should keep
+	// its members.
+	foreignRemoval = 30 * time.Second
+	// lostAfter is the silence after which a VM that no member knows replaces members. Members that
+	// are cut off keep authority while they hear all members that they know, and they do not know
+	// this VM, so it must only act when all are as good as certain to have ended.
+	lostAfter = 5 * time.Minute
+	// minorityDelay is the additional silence after which a VM removes members when it hears less
+	// than half of all members. It is probably cut off itself, and those that hear each other
+	// should act first.
+	minorityDelay = 4 * time.Second
 	// deputyDelay is the time after which the next VM in rendezvous order tries a change that the
 	// VM before it has not made.
 	deputyDelay = 2 * time.Second
@@ -296,24 +304,57 @@
 	c.start(o, core.WriteMembers{Zone: z.name, Expect: z.epoch, Members: wanted})
 }
 
-// mayWrite reports whether this VM may change the zone's list: as a VM of the zone that has run for
-// joinAfter, or as a member of another zone in service when no VM of the zone is heard.
+// mayWrite reports whether this VM may change the zone's list: as one of its members, or as a member
+// of another zone in service when no member is heard. Members of zones in service are heard by all
+// VMs that have authority while the platform is silent, so they can't be replaced by VMs that they
+// do not know. A VM that is no member only writes a list that names no VM that may be alive.
 func (c *Control) mayWrite(z *zone) bool {
 	if c.now-c.startedAt < joinAfter {
 		return false
 	}
 	if z.name == c.opts.Zone {
-		return true
+		return c.selfMember() || c.deserted(z)
 	}
-	if z.epoch == 0 || !c.selfMember() || c.config.current == nil || c.zoneOut(c.opts.Zone) {
+	if z.epoch == 0 || !c.selfMember() || c.config.current == nil || c.zoneOut(c.opts.Zone) || c.inMinority() {
 		return false
 	}
-	none := true
-	c.peers.all(func(_ core.VMName, p *peer) bool {
-		none = p.zone != z.name || !p.live()
-		return none
+	return !slices.ContainsFunc(z.members, func(m core.Member) bool {
+		p := c.peers.get(m.Name)
+		return p != nil && p.live()
+	})
+}
+
+// deserted reports whether no member of a zone can still be alive.
+func (c *Control) deserted(z *zone) bool {
+	return !slices.ContainsFunc(z.members, func(m core.Member) bool {
+		if m.Name == c.opts.Self {
+			return m.Incarnation > c.opts.Incarnation
+		}
+		p := c.peers.get(m.Name)
+		return p == nil || !p.gone(m.Incarnation) && c.silence(p) < lostAfter
 	})
-	return none
+}
+
+// silence returns the time since a peer was heard, as far as this VM has listened.
+func (c *Control) silence(p *peer) time.Duration { return c.now - max(p.lastHeard, c.startedAt) }
+
+// inMinority reports whether this VM hears less than half of all other members that may be alive.
+func (c *Control) inMinority() bool {
+	heard, all := 0, 0
+	c.zones.all(func(_ core.ZoneName, z *zone) bool {
+		for _, m := range z.members {
+			p := c.peers.get(m.Name)
+			if p == nil || p.gone(m.Incarnation) {
+				continue
+			}
+			all++
+			if p.live() {
+				heard++
+			}
+		}
+		return true
+	})
+	return 2*heard < all
 }
 
 // wantedMembers returns the list that a zone should have, in ascending name order.
@@ -354,9 +395,18 @@
 	if p.gone(m.Incarnation) || p.state == core.VMLeaving && p.heard() && len(p.holdings) == 0 {
 		return false
 	}
-	limit := core.SuspectAfter
-	if z.name != c.opts.Zone || !c.selfMember() {
-		limit = orphanAfter
+	return c.silence(p) <= c.removalLimit(z)
+}
+
+// removalLimit returns the silence after which this VM removes a member.
+func (c *Control) removalLimit(z *zone) time.Duration {
+	switch {
+	case z.name != c.opts.Zone:
+		return foreignRemoval
+	case !c.selfMember():
+		return lostAfter
+	case c.inMinority():
+		return core.SuspectAfter + minorityDelay
 	}
-	return c.now-max(p.lastHeard, c.startedAt) <= limit
+	return core.SuspectAfter
 }
--- a/core/control/peer.go
+++ b/core/control/peer.go
@@ -52,6 +52,8 @@
 	holdings   []core.Holding
 	// sentNotBefore is a lower bound, on this VM's clock, of when the newest heartbeat was sent.
 	sentNotBefore time.Duration
+	// confirmedAt is the time of the peer's newest confirmation, or earlier.
+	confirmedAt time.Duration
 
 	// deafAt is the last time at which the peer had not heard this VM for deadWithin.
 	deafAt time.Duration
@@ -75,7 +77,7 @@
 		}
 		p = &peer{
 			name: name, hash: rendezvous.HashString(string(name)), knownSince: c.now,
-			heardSince: c.now, lastHeard: c.now, sentNotBefore: never,
+			heardSince: c.now, lastHeard: c.now, sentNotBefore: never, confirmedAt: never,
 			// Sequence numbers start above those of earlier incarnations, so that a peer's
 			// acknowledgement can't refer to a message of an earlier process.
 			seqOut: uint64(c.opts.Incarnation) << 24,
--- a/core/control/takeover.go
+++ b/core/control/takeover.go
@@ -25,6 +25,13 @@
 	return &takeover{number: number, at: c.now, announcement: c.beats.announcement}
 }
 
+// nextNumber returns the holding number of a takeover.
+func (c *Control) nextNumber(t *target) core.HoldingNumber {
+	const countBits = 16
+	base := core.HoldingNumber(c.zone(t.target.Zone).epoch) << countBits
+	return max(t.holding.highest+1, base)
+}
+
 // considerTakeOver takes a target that nobody holds and that this VM should hold.
 func (c *Control) considerTakeOver(t *target) {
 	h := &t.holding
@@ -68,13 +75,22 @@
 }
 
 // isFirst reports whether no VM can have held the target before: it is new in a configuration that
-// this VM saw arrive, or its zone has just got its first list, and no VM came before this one.
+// this VM saw arrive, or its zone has just got its first list, this VM comes first, and all others
+// know the list that says so.
 func (c *Control) isFirst(t *target) bool {
 	h := &t.holding
 	if h.highest != 0 || h.foreign || h.wasForeign || len(h.electors) == 0 {
 		return false
 	}
-	return h.electors[0].name == c.opts.Self && (t.since != 0 || c.zone(t.target.Zone).bootstrapped)
+	if h.electors[0].name != c.opts.Self || t.since == 0 && !c.zone(t.target.Zone).bootstrapped {
+		return false
+	}
+	for _, e := range h.electors[1:] {
+		if e.peer == nil || !c.agrees(t, e.peer) {
+			return false
+		}
+	}
+	return true
 }
 
 // abandoned reports whether the target's holder is gone, or cut off and no longer a member, or, while
@@ -108,7 +124,7 @@
 		if e.gone() {
 			continue
 		}
-		if e.peer == nil || !e.peer.heard() && !e.peer.suspect && !c.isFirst(t) {
+		if e.peer == nil || !e.peer.heard() && !e.peer.suspect {
 			return false
 		}
 		if ahead && !(e.peer.live() && e.peer.state == core.VMLeaving) && !(e.peer.suspect && c.replaceable(e.peer)) {
@@ -246,7 +262,7 @@
 // target nevertheless needs this VM's acknowledgement before it uses authority.
 func (c *Control) agrees(t *target, p *peer) bool {
 	h := &t.holding
-	if h.foreign || h.wasForeign || !p.live() || h.take.again {
+	if h.foreign || h.wasForeign || !p.live() || h.take != nil && h.take.again {
 		return false
 	}
 	for _, e := range h.electors {
@@ -291,13 +307,17 @@
 // while this VM was no member.
 func (c *Control) proveAgain() {
 	c.targets.all(func(_ core.TargetID, t *target) bool {
-		h := &t.holding
-		if !h.held {
-			return true
+		if t.holding.held {
+			c.prove(t)
 		}
-		h.take = c.newTakeover(h.number)
-		h.take.again = true
-		c.tellTakeOver(t, core.FormerUnknown, core.FormerUnknown, false)
 		return true
 	})
 }
+
+// prove puts a held target on hold until it is known that no other VM holds it.
+func (c *Control) prove(t *target) {
+	h := &t.holding
+	h.take = c.newTakeover(h.number)
+	h.take.again = true
+	c.tellTakeOver(t, core.FormerUnknown, core.FormerUnknown, false)
+}
--- a/core/control/target.go
+++ b/core/control/target.go
@@ -78,6 +78,10 @@
 			t.since = g
 		}
 		c.targets.put(in.ID, t)
+		if r, ok := c.config.early[in.ID]; ok {
+			delete(c.config.early, in.ID)
+			c.onHolderChanged(r)
+		}
 	} else if t.target.Addr != in.Addr && quarantine > 0 {
 		t.notBefore = c.now + quarantine
 	}
--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -444,6 +444,10 @@
 	if !v.alive || v.paused || h == nil || h.releasing != nil || v.snapshot == nil {
 		return false
 	}
+	view := v.snapshot.Targets[id]
+	if view == nil || view.Holder != v.name || view.Number != h.number {
+		return false
+	}
 	return v.snapshot.AuthorityUntil > v.w.now && h.formerUntil <= v.w.now
 }
 
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -15,7 +15,9 @@
 	// flows or records.
 	Targets map[TargetID]*TargetView
 	// AuthorityUntil is the time until which this VM may start non-idempotent requests and send to
-	// cold targets; it is not after now when the VM has no authority.
+	// cold targets; it is not after now when the VM has no authority. For a target that a shard
+	// holds it counts only once the target's view names this VM with the shard's holding number:
+	// after a handover control may first have to find out whether the sender was its holder.
 	AuthorityUntil time.Duration
 	// NewestGeneration is the newest generation that any peer or the platform was heard to have.
 	NewestGeneration Generation
