Do not take a first visit as proof that nobody else has a record

A flow that lost its owner was placed again while its record stayed with the successor. A repetition through a young VM visited the new target first, and Cleared says only that all candidates before it were asked. For a flow that came from elsewhere within RequestLifetime, all candidates have to be asked. Found by the randomized test in its 8,014th run.

--- a/core/traffic/doubt.go
+++ b/core/traffic/doubt.go
@@ -18,7 +18,8 @@
 
 // noteDoubt keeps what could not be asked about a flow that is placed now.
 func (s *Shard) noteDoubt(o *owner, f *core.ForwardRequest) {
-	d := &doubt{peers: s.mustAsk(o) && !f.Queried && len(s.snap.Peers) > 0}
+	asked := f.Queried && s.allReachable() || len(s.snap.Peers) == 0
+	d := &doubt{peers: s.mustAsk(o) && !asked}
 	if f.Unreached {
 		for _, id := range f.Asked {
 			if id != o.id && !slices.Contains(d.ask, id) {
--- a/core/traffic/helpers_test.go
+++ b/core/traffic/helpers_test.go
@@ -113,7 +113,7 @@
 		s.Targets[id] = &c
 	}
 	for _, p := range f.names {
-		if p != name {
+		if p != name && !f.cut[p] {
 			s.Peers = append(s.Peers, p)
 		}
 	}
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -136,7 +136,11 @@
 
 // newRequest returns the state of a request that has reached its owner.
 func (s *Shard) newRequest(o *owner, f *core.ForwardRequest) *request {
-	sure := f.Cleared || f.Known && !o.unsure.has(f.Request.Flow, s.now)
+	sure := f.Cleared || f.Known
+	if o.unsure.has(f.Request.Flow, s.now) {
+		// Records from before the flow came here may be at any of its candidates.
+		sure = f.Cleared && (f.Known || s.askedAll(o, f))
+	}
 	return &request{
 		key:      keyOf(&f.Request),
 		req:      f.Request,
@@ -148,6 +152,16 @@
 	}
 }
 
+// askedAll reports whether a request has visited all other candidates of its flow.
+func (s *Shard) askedAll(o *owner, f *core.ForwardRequest) bool {
+	for _, id := range s.candidates(f.Request.Flow) {
+		if id != o.id && !slices.Contains(f.Asked, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // admit decides whether a request of a flow on this target is queued or refused.
 func (s *Shard) admit(o *owner, f *core.ForwardRequest) {
 	if f.Renewal {
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -294,7 +294,7 @@
 	}
 	n := w.names[w.draw(3)]
 	w.isolated = n
-	w.rejoinAt = w.steps + 60 + w.draw(200)
+	w.rejoinAt = w.steps + 60 + w.draw(400)
 	w.after(40, func() { w.takeOver(n, w.authUntil[n], w.now) })
 }
 
