Promise nothing for flows without a target, and end mutual doubts

A posting of a flow that no target took was refused as not run, and a late copy ran after the flow was placed elsewhere. Two owners in doubt about the same flow sent a request to each other up to the hop limit. Both were found by the randomized test.

--- a/core/traffic/doubt.go
+++ b/core/traffic/doubt.go
@@ -88,10 +88,12 @@
 	if len(trail) == 0 || f.Hops >= maxHops {
 		return false
 	}
+	// Another owner in doubt must not ask back.
+	f.Asked = append(slices.Clone(f.Asked), o.id)
 	f.Target = trail[0]
 	f.Trail = append(trail[1:], o.id)
 	f.Known = false
-	f.Cleared = true
+	f.Cleared = s.now >= o.quarantineUntil
 	f.Moved = false
 	f.Hops++
 	s.dispatch(f)
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -95,7 +95,10 @@
 	flow := f.Request.Flow
 	target := s.choose(o, flow, f.Asked)
 	if target == 0 {
-		s.refuseRequest(o, s.newRequest(o, f), core.ReasonNoTarget)
+		// The flow may be placed elsewhere soon, where nobody knows of this refusal.
+		r := s.newRequest(o, f)
+		r.cleared = false
+		s.refuseRequest(o, r, core.ReasonNoTarget)
 		return nil
 	}
 	o.setFlow(flow, target, s.now)
