Keep several live feeds per flow

A second registration of a flow replaced the first and withdrew it at the target, so a caller with two feeds lost one silently. Feeds are kept by a key that the carrier derives from the caller's token, in the new field Request.Feed; without it, a feed is identified by its registration.

Attempt tokens stay congruent to the shard's index when the 32-bit counter wraps. A withdrawal no longer creates a flow.

--- a/core/input.go
+++ b/core/input.go
@@ -32,6 +32,9 @@
 	// Deadline is the time that remained when the packet reached the ingress VM; 0 means the
 	// service's default.
 	Deadline time.Duration
+	// Feed identifies the live feed that a request opens or closes within its flow, so that a flow
+	// can have several; 0 means that it is not known and ID stands for it.
+	Feed uint64
 	// Sticky marks a request of a sequence that one target has to see in full (a block-wise upload).
 	Sticky  bool
 	Trace   TraceContext
--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -22,8 +22,12 @@
 }
 
 func (s *Shard) nextToken() core.AttemptToken {
-	n := s.opts.FirstToken + s.counter*s.opts.TokenStep
-	s.counter++
+	n := s.token
+	s.token += s.opts.TokenStep
+	if s.token < n {
+		// Tokens stay congruent to the shard's index when the counter wraps.
+		s.token = s.opts.FirstToken
+	}
 	return core.NewAttemptToken(s.opts.Incarnation, n)
 }
 
--- a/core/traffic/feed.go
+++ b/core/traffic/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -24,9 +25,22 @@
 	ended   bool
 }
 
-// feedSet holds the feeds of a target, at most one per flow.
+// feedKey identifies a feed.
+type feedKey struct {
+	flow core.FlowKey
+	feed uint64
+}
+
+func feedKeyOf(r *core.Request) feedKey {
+	if r.Feed != 0 {
+		return feedKey{r.Flow, r.Feed}
+	}
+	return feedKey{r.Flow, r.ID.Hi*0x9e3779b97f4a7c15 ^ r.ID.Lo}
+}
+
+// feedSet holds the feeds of a target.
 type feedSet struct {
-	m map[core.FlowKey]*feed
+	flows map[core.FlowKey][]*feed
 	// order lists the feeds in the order of registration; ended ones are removed on ticks.
 	order []*feed
 	due   fifo[*feed]
@@ -34,21 +48,37 @@
 	lastWasRenewal bool
 }
 
-func newFeedSet() feedSet { return feedSet{m: map[core.FlowKey]*feed{}} }
+func newFeedSet() feedSet { return feedSet{flows: map[core.FlowKey][]*feed{}} }
+
+// get returns the feed with a key, or nil.
+func (t *feedSet) get(k feedKey) *feed {
+	for _, fd := range t.flows[k.flow] {
+		if feedKeyOf(&fd.req) == k {
+			return fd
+		}
+	}
+	return nil
+}
+
+// has reports whether a flow has a feed.
+func (t *feedSet) has(flow core.FlowKey) bool { return len(t.flows[flow]) > 0 }
 
 func (t *feedSet) put(fd *feed) {
-	if t.m[fd.req.Flow] == fd {
+	flow := fd.req.Flow
+	if slices.Contains(t.flows[flow], fd) {
 		return
 	}
-	t.m[fd.req.Flow] = fd
+	t.flows[flow] = append(t.flows[flow], fd)
 	t.order = append(t.order, fd)
 }
 
-// remove ends a feed, if it is still the flow's feed.
+// remove ends a feed.
 func (t *feedSet) remove(fd *feed) {
 	fd.ended = true
-	if t.m[fd.req.Flow] == fd {
-		delete(t.m, fd.req.Flow)
+	flow := fd.req.Flow
+	t.flows[flow] = compact(t.flows[flow], func(x *feed) bool { return x != fd })
+	if len(t.flows[flow]) == 0 {
+		delete(t.flows, flow)
 	}
 }
 
@@ -74,7 +104,7 @@
 
 // openFeed returns the feed that an attempt registers.
 func (s *Shard) openFeed(o *owner, r *request, a *attempt) *feed {
-	if fd := o.feeds.m[r.req.Flow]; r.renewal && fd != nil {
+	if fd := o.feeds.get(feedKeyOf(&r.req)); r.renewal && fd != nil {
 		return fd
 	}
 	return &feed{o: o, req: r.req, seen: s.now}
@@ -92,7 +122,7 @@
 		s.forgetFeed(fd)
 		return
 	}
-	if old := o.feeds.m[fd.req.Flow]; old != nil && old != fd {
+	if old := o.feeds.get(feedKeyOf(&fd.req)); old != nil && old != fd {
 		s.forgetFeed(old)
 		s.sendCancel(o, old.token, old.addr, &old.req)
 	}
@@ -140,25 +170,45 @@
 	default:
 		// The target dropped the feed; it is registered again.
 		delete(s.feeds, fd.token)
-		s.renewLater(o, fd.req.Flow, shedPause)
+		s.renewLater(fd, shedPause)
 	}
 }
 
-// endFeed ends a flow's feed at the caller's request.
-func (s *Shard) endFeed(o *owner, flow core.FlowKey) {
-	fd := o.feeds.m[flow]
-	if fd == nil {
-		return
-	}
+// endFeed ends a feed at the caller's request.
+func (s *Shard) endFeed(fd *feed) {
 	s.forgetFeed(fd)
 	if fd.token != 0 {
-		s.sendCancel(o, fd.token, fd.addr, &fd.req)
+		s.sendCancel(fd.o, fd.token, fd.addr, &fd.req)
+	}
+}
+
+// unsubscribe ends the feed that a request names, or the flow's only one. Otherwise the caller ends
+// it by rejecting its next message.
+func (s *Shard) unsubscribe(o *owner, r *core.Request) {
+	list := o.feeds.flows[r.Flow]
+	fd := o.feeds.get(feedKeyOf(r))
+	if fd == nil && r.Feed == 0 && len(list) == 1 {
+		fd = list[0]
+	}
+	if fd != nil {
+		s.endFeed(fd)
+	}
+}
+
+// cancelFeed ends the feed whose registration has the given id. It reports whether there is one.
+func (s *Shard) cancelFeed(o *owner, key reqKey) bool {
+	for _, fd := range o.feeds.flows[key.flow] {
+		if fd.req.ID == key.id {
+			s.endFeed(fd)
+			return true
+		}
 	}
+	return false
 }
 
 // adoptFeed takes over a feed whose target left service or whose holder handed it over.
 func (s *Shard) adoptFeed(o *owner, r *core.Request) {
-	if old := o.feeds.m[r.Flow]; old != nil && old.req.ID == r.ID {
+	if o.feeds.get(feedKeyOf(r)) != nil {
 		return
 	}
 	o.feeds.put(&feed{o: o, req: *r, seen: s.now, renew: true, renewAt: s.now})
@@ -166,12 +216,8 @@
 	s.pump(o)
 }
 
-// renewLater registers a flow's feed again after a pause.
-func (s *Shard) renewLater(o *owner, flow core.FlowKey, pause time.Duration) {
-	fd := o.feeds.m[flow]
-	if fd == nil {
-		return
-	}
+// renewLater registers a feed again after a pause.
+func (s *Shard) renewLater(fd *feed, pause time.Duration) {
 	fd.renew = true
 	fd.pending = false
 	fd.renewAt = s.now + pause
@@ -180,6 +226,10 @@
 // renew sends the registration of a feed again.
 func (s *Shard) renew(o *owner, fd *feed) {
 	o.feeds.due.pop()
+	if o.view.Target.Service != fd.req.Flow.Service {
+		s.forgetFeed(fd)
+		return
+	}
 	r := &request{
 		key:      keyOf(&fd.req),
 		req:      fd.req,
@@ -217,7 +267,7 @@
 	}
 	for _, fd := range o.feeds.order {
 		if s.now-fd.seen > feedIdle {
-			s.endFeed(o, fd.req.Flow)
+			s.endFeed(fd)
 		}
 	}
 	s.queueRenewals(o)
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -110,10 +110,10 @@
 
 func (w *chunkWriter) writeFlows() {
 	// A registration in flight stays here; the new holder registers it again for later messages.
-	opening := map[core.FlowKey]*feed{}
+	opening := newFeedSet()
 	for _, a := range w.o.flights {
-		if a.feed != nil && a.r.state == reqSent {
-			opening[a.r.req.Flow] = a.feed
+		if a.feed != nil && a.r.state == reqSent && w.o.feeds.get(feedKeyOf(&a.feed.req)) == nil {
+			opening.put(a.feed)
 		}
 	}
 	w.o.flows.all(func(e *flowEntry) {
@@ -121,22 +121,30 @@
 		f.Unsettled = max(w.o.unsure.m[e.key], w.o.moved.m[e.key]) - w.s.now
 		f.Unsettled = max(f.Unsettled, 0)
 		f.Doubtful = w.o.doubts[e.key] != nil
-		size := flowBytes
-		fd := w.o.feeds.m[e.key]
-		if fd == nil {
-			fd = opening[e.key]
+		feeds := slices.Concat(w.o.feeds.flows[e.key], opening.flows[e.key])
+		if e.target != w.o.id || len(feeds) == 0 {
+			w.writeFlow(f, nil)
+			return
 		}
-		if fd != nil && e.target == w.o.id {
-			r := fd.req
-			f.Feed = &r
-			f.FeedToken = fd.token
-			size += feedBytes + len(r.Payload)
+		for _, fd := range feeds {
+			w.writeFlow(f, fd)
 		}
-		w.room(size)
-		w.chunk.Flows = append(w.chunk.Flows, f)
 	})
 }
 
+// writeFlow writes a flow, once for each of its feeds.
+func (w *chunkWriter) writeFlow(f core.FlowState, fd *feed) {
+	size := flowBytes
+	if fd != nil {
+		r := fd.req
+		f.Feed = &r
+		f.FeedToken = fd.token
+		size += feedBytes + len(r.Payload)
+	}
+	w.room(size)
+	w.chunk.Flows = append(w.chunk.Flows, f)
+}
+
 func (w *chunkWriter) writeRecords() {
 	for _, a := range w.o.flights {
 		left := max(a.r.deadline-w.s.now, 0) + cancelGrace
--- a/core/traffic/handover_test.go
+++ b/core/traffic/handover_test.go
@@ -151,7 +151,7 @@
 		}
 		f.release(1, "b", 2)
 		So(f.vms["b"].owners[1].placed(), ShouldEqual, 2000)
-		So(f.vms["b"].owners[1].feeds.m, ShouldHaveLength, 2000)
+		So(f.vms["b"].owners[1].feeds.flows, ShouldHaveLength, 2000)
 		So(f.requests(), ShouldHaveLength, 1)
 	})
 	Convey("Given former sets that the receiver is too young to know, it finds flows by them", t, func() {
@@ -181,6 +181,42 @@
 	})
 }
 
+// Guards against a second feed of a flow that ends the first, and against ends of the wrong one.
+func TestSeveralFeeds(t *testing.T) {
+	Convey("Given a flow with two feeds", t, func() {
+		f := newFleet(t, 2, 1)
+		f.warm()
+		var feeds []core.SendTarget
+		for i := range 2 {
+			r := subscribe(1, i+1)
+			r.Feed = uint64(i + 1)
+			f.request("b", r)
+			feeds = append(feeds, f.last())
+			f.verdict(f.last(), core.AnswerNotification, "")
+		}
+		f.answers = nil
+		Convey("messages of both reach the caller", func() {
+			for _, s := range feeds {
+				f.verdict(s, core.AnswerNotification, "")
+			}
+			So(f.answers, ShouldHaveLength, 2)
+			So(f.cancels(), ShouldEqual, 0)
+		})
+		Convey("the end of one leaves the other, here and after a handover", func() {
+			r := subscribe(1, 3)
+			r.Method = core.MethodUnsubscribe
+			r.Feed = 1
+			f.request("a", r)
+			f.verdict(f.last(), core.AnswerOK, "")
+			So(f.sent[len(f.sent)-2].Token, ShouldEqual, feeds[0].Token)
+			f.sent = nil
+			f.release(1, "b", 2)
+			So(f.requests(), ShouldHaveLength, 1)
+			So(f.last().Request.Feed, ShouldEqual, 2)
+		})
+	})
+}
+
 // Guards against feeds that stall when their holder dies or is replaced without a handover.
 func TestLostHolder(t *testing.T) {
 	Convey("Given a feed that was registered through another VM than the holder", t, func() {
@@ -276,7 +312,7 @@
 			for _, a := range f.answers {
 				So(a.Notification, ShouldBeTrue)
 			}
-			So(f.owner(2).feeds.m, ShouldHaveLength, 40)
+			So(f.owner(2).feeds.flows, ShouldHaveLength, 40)
 		})
 		Convey("a repeated posting is answered from the record, and a new one runs elsewhere", func() {
 			f.request("a", posting(i, 7))
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -241,7 +241,7 @@
 		}
 		k := e.key
 		if e.target == o.id {
-			if o.feeds.m[k] == nil {
+			if !o.feeds.has(k) {
 				delete(o.doubts, k)
 				o.flows.remove(&k)
 			}
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -12,6 +12,12 @@
 // entry, or nil when the request went elsewhere, waits or was refused.
 func (s *Shard) locate(o *owner, f *core.ForwardRequest) *flowEntry {
 	flow := f.Request.Flow
+	if f.Request.Method == core.MethodCancel {
+		if len(f.Trail) > 0 {
+			s.passOn(f, true)
+		}
+		return nil
+	}
 	if f.Known && s.acceptsKnown(o, f) {
 		if o.full() && s.now >= o.rebuildUntil {
 			return s.place(o, f)
@@ -22,12 +28,6 @@
 		}
 		return o.flows.get(&flow)
 	}
-	if f.Request.Method == core.MethodCancel {
-		if len(f.Trail) > 0 {
-			s.passOn(f, true)
-		}
-		return nil
-	}
 	if f.Known {
 		// The note is stale: search as if the request had just arrived.
 		f.Known = false
--- a/core/traffic/refusal.go
+++ b/core/traffic/refusal.go
@@ -42,7 +42,9 @@
 func (s *Shard) refuseRequest(o *owner, r *request, reason core.RefusalReason) {
 	s.finish(o, r)
 	if r.renewal {
-		s.renewLater(o, r.req.Flow, shedPause)
+		if fd := o.feeds.get(feedKeyOf(&r.req)); fd != nil {
+			s.renewLater(fd, shedPause)
+		}
 		return
 	}
 	run := s.runStatus(o, r)
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -174,7 +174,7 @@
 		return
 	}
 	if r.req.Method == core.MethodUnsubscribe {
-		s.endFeed(o, r.req.Flow)
+		s.unsubscribe(o, &r.req)
 	}
 	o.active[r.key] = r
 	o.live = append(o.live, r)
@@ -241,15 +241,10 @@
 
 // cancelRequest withdraws the request or the feed with the given id. It reports whether it is here.
 func (s *Shard) cancelRequest(o *owner, key reqKey) bool {
-	if fd := o.feeds.m[key.flow]; fd != nil && fd.req.ID == key.id {
-		s.endFeed(o, key.flow)
-		if o.active[key] == nil {
-			return true
-		}
-	}
+	ended := s.cancelFeed(o, key)
 	r := o.active[key]
 	if r == nil {
-		return false
+		return ended
 	}
 	if r.state != reqSent {
 		s.refuseRequest(o, r, core.ReasonCancelled)
--- a/core/traffic/routing.go
+++ b/core/traffic/routing.go
@@ -272,7 +272,7 @@
 // sweepNotes removes the notes of some idle flows.
 func (s *Shard) sweepNotes() {
 	s.notes.sweep(sweepPerTick, func(e *flowEntry) {
-		if e.idle(s.now) > core.FlowIdle && s.watches.m[e.key] == nil {
+		if e.idle(s.now) > core.FlowIdle && s.watches.flows[e.key] == 0 {
 			k := e.key
 			s.notes.remove(&k)
 		}
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -48,7 +48,8 @@
 	parked   []parkedRequest
 	down     map[core.VMName]bool
 	attempts map[core.AttemptToken]*attempt
-	counter  uint32
+	// token is the lower half of the next attempt's token.
+	token uint32
 	// retryFund is the number of retries that the retry budget allows now.
 	retryFund float64
 	feeds     map[core.AttemptToken]*feed
@@ -68,6 +69,7 @@
 	opts.TokenStep = max(opts.TokenStep, 1)
 	return &Shard{
 		opts:      opts,
+		token:     opts.FirstToken,
 		sets:      map[core.ServiceID]*serviceSets{},
 		inherited: map[core.ServiceID][]core.FormerSet{},
 		notes:     newFlowTable(opts.Seed),
@@ -211,6 +213,7 @@
 	s.expireBackups()
 	s.expireIncoming()
 	s.watches.expire(s.now)
+	s.noteHolders()
 	s.marks.expire(s.now)
 	s.sweepNotes()
 	s.pumpAll()
--- a/core/traffic/watch.go
+++ b/core/traffic/watch.go
@@ -28,21 +28,62 @@
 	ended     bool
 }
 
-// watches holds at most one registration per flow, in the order of arrival.
+// watches holds registrations in the order of arrival.
 type watches struct {
-	m     map[core.FlowKey]*watch
+	m map[feedKey]*watch
+	// flows counts the registrations of each flow.
+	flows map[core.FlowKey]int
 	order fifo[*watch]
+	// fresh lists the registrations whose holder is not known yet.
+	fresh []*watch
 }
 
-func newWatches() watches { return watches{m: map[core.FlowKey]*watch{}} }
+func newWatches() watches {
+	return watches{m: map[feedKey]*watch{}, flows: map[core.FlowKey]int{}}
+}
+
+func (t *watches) add(w *watch) {
+	k := feedKeyOf(&w.req)
+	t.remove(k)
+	t.m[k] = w
+	t.flows[k.flow]++
+	t.order.push(w)
+	t.fresh = append(t.fresh, w)
+}
 
-func (t *watches) remove(k core.FlowKey) {
-	if w := t.m[k]; w != nil {
-		w.ended = true
-		delete(t.m, k)
+func (t *watches) remove(k feedKey) {
+	w := t.m[k]
+	if w == nil {
+		return
+	}
+	w.ended = true
+	delete(t.m, k)
+	t.flows[k.flow]--
+	if t.flows[k.flow] == 0 {
+		delete(t.flows, k.flow)
 	}
 }
 
+// find returns the key of the registration that a request of the flow ends. A request that names no
+// feed ends the flow's only one.
+func (t *watches) find(r *core.Request) (feedKey, bool) {
+	if w := t.m[feedKeyOf(r)]; w != nil {
+		return feedKeyOf(r), true
+	}
+	if t.flows[r.Flow] == 0 || r.Feed != 0 {
+		return feedKey{}, false
+	}
+	for _, w := range t.order.items[t.order.head:] {
+		if w.ended || w.req.Flow != r.Flow {
+			continue
+		}
+		if w.req.ID == r.ID || r.Method == core.MethodUnsubscribe && t.flows[r.Flow] == 1 {
+			return feedKeyOf(&w.req), true
+		}
+	}
+	return feedKey{}, false
+}
+
 func (t *watches) expire(now time.Duration) {
 	for t.order.len() > 0 {
 		w := *t.order.first()
@@ -50,8 +91,8 @@
 			return
 		}
 		t.order.pop()
-		if t.m[w.req.Flow] == w {
-			delete(t.m, w.req.Flow)
+		if !w.ended {
+			t.remove(feedKeyOf(&w.req))
 		}
 	}
 }
@@ -60,22 +101,26 @@
 func (s *Shard) watch(r *core.Request) {
 	switch r.Method {
 	case core.MethodSubscribe:
-		s.watches.remove(r.Flow)
-		if s.watches.order.len() >= maxWatches {
-			return
+		if s.watches.order.len() < maxWatches {
+			s.watches.add(&watch{req: *r, until: s.now + watchTime})
 		}
-		w := &watch{req: *r, until: s.now + watchTime}
-		s.watches.m[r.Flow] = w
-		s.watches.order.push(w)
-	case core.MethodUnsubscribe:
-		s.watches.remove(r.Flow)
-	case core.MethodCancel:
-		if w := s.watches.m[r.Flow]; w != nil && w.req.ID == r.ID {
-			s.watches.remove(r.Flow)
+	case core.MethodUnsubscribe, core.MethodCancel:
+		if k, ok := s.watches.find(r); ok {
+			s.watches.remove(k)
 		}
 	}
 }
 
+// noteHolders notes who holds the targets of new registrations.
+func (s *Shard) noteHolders() {
+	s.watches.fresh = compact(s.watches.fresh, func(w *watch) bool {
+		if !w.ended {
+			s.follow(w)
+		}
+		return !w.ended && w.holder == ""
+	})
+}
+
 // followHolders asks the new holders of lost VMs' targets to renew the watched feeds.
 func (s *Shard) followHolders() {
 	if s.snap == nil {
