--- a/core/traffic/doubt.go
+++ b/core/traffic/doubt.go
@@ -18,7 +18,8 @@
 
 // noteDoubt keeps what could not be asked about a flow that is placed now.
 func (s *Shard) noteDoubt(o *owner, f *core.ForwardRequest) {
-	d := &doubt{peers: s.mustAsk(o) && !f.Queried && len(s.snap.Peers) > 0}
+	asked := f.Queried && s.allReachable() || len(s.snap.Peers) == 0
+	d := &doubt{peers: s.mustAsk(o) && !asked}
 	if f.Unreached {
 		for _, id := range f.Asked {
 			if id != o.id && !slices.Contains(d.ask, id) {
@@ -87,10 +88,12 @@
 	if len(trail) == 0 || f.Hops >= maxHops {
 		return false
 	}
+	// Another owner in doubt must not ask back.
+	f.Asked = append(slices.Clone(f.Asked), o.id)
 	f.Target = trail[0]
 	f.Trail = append(trail[1:], o.id)
 	f.Known = false
-	f.Cleared = true
+	f.Cleared = s.now >= o.quarantineUntil
 	f.Moved = false
 	f.Hops++
 	s.dispatch(f)
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -136,7 +136,11 @@
 
 // newRequest returns the state of a request that has reached its owner.
 func (s *Shard) newRequest(o *owner, f *core.ForwardRequest) *request {
-	sure := f.Cleared || f.Known && !o.unsure.has(f.Request.Flow, s.now)
+	sure := f.Cleared || f.Known
+	if o.unsure.has(f.Request.Flow, s.now) {
+		// Records from before the flow came here may be at any of its candidates.
+		sure = f.Cleared && (f.Known || s.askedAll(o, f))
+	}
 	return &request{
 		key:      keyOf(&f.Request),
 		req:      f.Request,
@@ -148,6 +152,16 @@
 	}
 }
 
+// askedAll reports whether a request has visited all other candidates of its flow.
+func (s *Shard) askedAll(o *owner, f *core.ForwardRequest) bool {
+	for _, id := range s.candidates(f.Request.Flow) {
+		if id != o.id && !slices.Contains(f.Asked, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // admit decides whether a request of a flow on this target is queued or refused.
 func (s *Shard) admit(o *owner, f *core.ForwardRequest) {
 	if f.Renewal {
@@ -160,7 +174,7 @@
 		return
 	}
 	if r.req.Method == core.MethodUnsubscribe {
-		s.endFeed(o, r.req.Flow)
+		s.unsubscribe(o, &r.req)
 	}
 	o.active[r.key] = r
 	o.live = append(o.live, r)
@@ -227,15 +241,10 @@
 
 // cancelRequest withdraws the request or the feed with the given id. It reports whether it is here.
 func (s *Shard) cancelRequest(o *owner, key reqKey) bool {
-	if fd := o.feeds.m[key.flow]; fd != nil && fd.req.ID == key.id {
-		s.endFeed(o, key.flow)
-		if o.active[key] == nil {
-			return true
-		}
-	}
+	ended := s.cancelFeed(o, key)
 	r := o.active[key]
 	if r == nil {
-		return false
+		return ended
 	}
 	if r.state != reqSent {
 		s.refuseRequest(o, r, core.ReasonCancelled)
