Encode all fields of messages between VMs

Cause: fields added to ForwardRequest, HandoverBegin, FlowState, RequestRecord, Request and Member for placement and handover were not encoded, so that real processes decided differently from the cores in virtual time.

--- a/core/message.go
+++ b/core/message.go
@@ -126,6 +126,9 @@
 type FlowReply struct {
 	Flow   FlowKey
 	Target TargetID
+	// Guess is true when no holder has confirmed that the flow is on Target: it was the flow's only
+	// candidate when the sender saw a packet of it.
+	Guess bool
 }
 
 // RecordStarted asks the backup to keep a copy of a started record.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -38,7 +38,7 @@
 		return &core.FlowQuery{Flow: d.flow(b.FlowQuery.GetFlow())}
 	case *wirepb.Envelope_FlowReply:
 		p := b.FlowReply
-		return &core.FlowReply{Flow: d.flow(p.GetFlow()), Target: core.TargetID(p.GetTarget())}
+		return &core.FlowReply{Flow: d.flow(p.GetFlow()), Target: core.TargetID(p.GetTarget()), Guess: p.GetGuess()}
 	case *wirepb.Envelope_RecordStarted:
 		return d.recordStarted(b.RecordStarted)
 	case *wirepb.Envelope_RecordAck:
@@ -150,6 +150,7 @@
 			Name:        core.VMName(member.GetName()),
 			Incarnation: core.Incarnation(member.GetIncarnation()),
 			Addr:        addrFromBytes(member.GetAddr()),
+			Joined:      core.Epoch(member.GetJoined()),
 		})
 	}
 	return m
@@ -180,6 +181,7 @@
 		Sticky:     p.GetSticky(),
 		Trace:      d.trace(p.GetTrace()),
 		Payload:    p.GetPayload(),
+		Feed:       p.GetFeed(),
 	}
 }
 
@@ -207,15 +209,26 @@
 		Hops:       d.uint8("hops", p.GetHops()),
 		Generation: core.Generation(p.GetGeneration()),
 		Age:        d.millis("age", p.GetAgeMs()),
+		Trail:      d.targets("trail", p.GetTrail(), maxTrail),
+		Asked:      d.targets("asked", p.GetAsked(), maxTrail),
+		Moved:      p.GetMoved(),
+		Queried:    p.GetQueried(),
+		Renewal:    p.GetRenewal(),
 	}
-	d.list("trail", len(p.GetTrail()), maxTrail)
+	return m
+}
+
+// targets returns no list when it is too long.
+func (d *decoder) targets(name string, list []uint32, limit int) []core.TargetID {
+	d.list(name, len(list), limit)
 	if d.err != nil {
-		return m
+		return nil
 	}
-	for _, t := range p.GetTrail() {
-		m.Trail = append(m.Trail, core.TargetID(t))
+	var ids []core.TargetID
+	for _, id := range list {
+		ids = append(ids, core.TargetID(id))
 	}
-	return m
+	return ids
 }
 
 func (d *decoder) recordStarted(p *wirepb.RecordStarted) *core.RecordStarted {
@@ -229,7 +242,7 @@
 }
 
 func (d *decoder) handoverBegin(p *wirepb.HandoverBegin) *core.HandoverBegin {
-	return &core.HandoverBegin{
+	m := &core.HandoverBegin{
 		Target:         core.TargetID(p.GetTarget()),
 		Number:         core.HoldingNumber(p.GetNumber()),
 		Limit:          d.uint16("limit", p.GetLimit()),
@@ -238,7 +251,21 @@
 		Boot:           p.GetBoot(),
 		InFlight:       d.uint16("in flight", p.GetInFlight()),
 		QuarantineLeft: d.millis("quarantine", p.GetQuarantineLeftMs()),
+		HoldLeft:       d.millis("hold", p.GetHoldLeftMs()),
+		IdempotentLeft: d.millis("idempotent", p.GetIdempotentLeftMs()),
+		RebuildLeft:    d.millis("rebuild", p.GetRebuildLeftMs()),
+	}
+	d.list("former sets", len(p.GetFormer()), core.MaxFormerSets)
+	if d.err != nil {
+		return m
 	}
+	for _, f := range p.GetFormer() {
+		d.check(len(f.GetTargets()) == len(f.GetWeights()), "former set has %d weights for %d targets",
+			len(f.GetWeights()), len(f.GetTargets()))
+		set := core.TargetSet{IDs: d.targets("former targets", f.GetTargets(), maxSet), Weights: f.GetWeights()}
+		m.Former = append(m.Former, core.FormerSetAge{Set: set, Age: d.millis("former age", f.GetAgeMs())})
+	}
+	return m
 }
 
 func (d *decoder) record(p *wirepb.RequestRecord) core.RequestRecord {
@@ -248,6 +275,8 @@
 		State:  core.RecordState(d.uint8("record state", p.GetState())),
 		Left:   d.millis("left", p.GetLeftMs()),
 		Answer: p.GetAnswer(),
+
+		Idempotent: p.GetIdempotent(),
 	}
 }
 
@@ -259,7 +288,11 @@
 		return m
 	}
 	for _, f := range p.GetFlows() {
-		state := core.FlowState{Flow: d.flow(f.GetFlow()), Target: core.TargetID(f.GetTarget()), Idle: d.millis("idle", f.GetIdleMs())}
+		state := core.FlowState{
+			Flow: d.flow(f.GetFlow()), Target: core.TargetID(f.GetTarget()), Idle: d.millis("idle", f.GetIdleMs()),
+			FeedToken: core.AttemptToken(f.GetFeedToken()), Unsettled: d.millis("unsettled", f.GetUnsettledMs()),
+			Doubtful: f.GetDoubtful(),
+		}
 		if f.GetFeed() != nil {
 			feed := d.request(f.GetFeed())
 			state.Feed = &feed
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -29,7 +29,7 @@
 		env.Body = &wirepb.Envelope_FlowQuery{FlowQuery: &wirepb.FlowQuery{Flow: encodeFlow(m.Flow)}}
 	case *core.FlowReply:
 		env.Body = &wirepb.Envelope_FlowReply{FlowReply: &wirepb.FlowReply{
-			Flow: encodeFlow(m.Flow), Target: uint32(m.Target)}}
+			Flow: encodeFlow(m.Flow), Target: uint32(m.Target), Guess: m.Guess}}
 	case *core.RecordStarted:
 		env.Body = &wirepb.Envelope_RecordStarted{RecordStarted: encodeRecordStarted(m)}
 	case *core.RecordAck:
@@ -96,6 +96,7 @@
 			Name:        string(member.Name),
 			Incarnation: uint32(member.Incarnation),
 			Addr:        addrBytes(member.Addr),
+			Joined:      uint64(member.Joined),
 		})
 	}
 	return p
@@ -119,6 +120,7 @@
 		DeadlineMs: deadlineMillis(r.Deadline),
 		Sticky:     r.Sticky,
 		Payload:    r.Payload,
+		Feed:       r.Feed,
 	}
 	if version >= Version2 && r.Trace != (core.TraceContext{}) {
 		p.Trace = append(append(p.Trace, r.Trace.TraceID[:]...), r.Trace.SpanID[:]...)
@@ -137,13 +139,23 @@
 		Hops:       uint32(m.Hops),
 		Generation: uint64(m.Generation),
 		AgeMs:      ceilMillis(m.Age),
-	}
-	for _, t := range m.Trail {
-		p.Trail = append(p.Trail, uint32(t))
+		Trail:      encodeTargets(m.Trail),
+		Asked:      encodeTargets(m.Asked),
+		Moved:      m.Moved,
+		Queried:    m.Queried,
+		Renewal:    m.Renewal,
 	}
 	return p
 }
 
+func encodeTargets(ids []core.TargetID) []uint32 {
+	var list []uint32
+	for _, id := range ids {
+		list = append(list, uint32(id))
+	}
+	return list
+}
+
 func encodeRecordStarted(m *core.RecordStarted) *wirepb.RecordStarted {
 	return &wirepb.RecordStarted{
 		Target: uint32(m.Target),
@@ -155,7 +167,7 @@
 }
 
 func encodeHandoverBegin(m *core.HandoverBegin) *wirepb.HandoverBegin {
-	return &wirepb.HandoverBegin{
+	p := &wirepb.HandoverBegin{
 		Target:           uint32(m.Target),
 		Number:           uint64(m.Number),
 		Limit:            uint32(m.Limit),
@@ -164,7 +176,16 @@
 		Boot:             m.Boot,
 		InFlight:         uint32(m.InFlight),
 		QuarantineLeftMs: ceilMillis(m.QuarantineLeft),
+		HoldLeftMs:       ceilMillis(m.HoldLeft),
+		IdempotentLeftMs: ceilMillis(m.IdempotentLeft),
+		RebuildLeftMs:    ceilMillis(m.RebuildLeft),
 	}
+	for _, f := range m.Former {
+		p.Former = append(p.Former, &wirepb.FormerSet{
+			Targets: encodeTargets(f.Set.IDs), Weights: f.Set.Weights, AgeMs: floorMillis(f.Age),
+		})
+	}
+	return p
 }
 
 func encodeRecord(r *core.RequestRecord) *wirepb.RequestRecord {
@@ -174,6 +195,8 @@
 		State:  uint32(r.State),
 		LeftMs: ceilMillis(r.Left),
 		Answer: r.Answer,
+
+		Idempotent: r.Idempotent,
 	}
 }
 
@@ -181,7 +204,10 @@
 	p := &wirepb.HandoverChunk{Target: uint32(m.Target), Number: uint64(m.Number)}
 	for i := range m.Flows {
 		f := &m.Flows[i]
-		state := &wirepb.FlowState{Flow: encodeFlow(f.Flow), Target: uint32(f.Target), IdleMs: floorMillis(f.Idle)}
+		state := &wirepb.FlowState{
+			Flow: encodeFlow(f.Flow), Target: uint32(f.Target), IdleMs: floorMillis(f.Idle),
+			FeedToken: uint64(f.FeedToken), UnsettledMs: ceilMillis(f.Unsettled), Doubtful: f.Doubtful,
+		}
 		if f.Feed != nil {
 			state.Feed = encodeRequest(f.Feed, version)
 		}
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -17,6 +17,7 @@
 	maxHoldings = 2048
 	maxMembers  = 1024
 	maxTrail    = 32
+	maxSet      = 512
 	maxFlows    = 1024
 	maxRecords  = 1024
 	maxStatuses = 1024
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -94,6 +94,10 @@
 		c.target(m.Target)
 	case *core.HandoverBegin:
 		c.target(m.Target)
+		c.list("former sets", len(m.Former), core.MaxFormerSets)
+		for _, f := range m.Former {
+			c.list("former targets", len(f.Set.IDs), maxSet)
+		}
 	case *core.HandoverChunk:
 		c.handoverChunk(m)
 	case *core.HandoverEnd:
@@ -138,9 +142,13 @@
 	c.request(&m.Request)
 	c.target(m.Target)
 	c.list("trail", len(m.Trail), maxTrail)
+	c.list("asked", len(m.Asked), maxTrail)
 	for _, t := range m.Trail {
 		c.target(t)
 	}
+	for _, t := range m.Asked {
+		c.target(t)
+	}
 	c.name("ingress", string(m.Ingress))
 }
 
