Finish work in flight on a planned stop, and four more causes of broken flows

Causes, each found with a trace of one flow in a failing scenario: - A VM with two traffic shards ended its planned stop when control knew of one: the composition did not tell control the number of shards. Work in flight was cut (TestRollingReplacement: 47 violations, 9 postings timed out). - A flow whose holder was lost was placed by load at the new holder although it was established on its primary. It now stays there; peers tell guesses apart. - Reads waited up to 8 s for a silent former holder of a warm target. Idempotent requests now run at the cold limit meanwhile. - A target was handed back to the leaving VM before its heartbeat said so (32 failed handovers of 108). It now stays for the handover delay. - A VM paused for 15 s forwarded packets older than RequestLifetime after it resumed: 12 postings ran twice. Requests read within 500 ms of a pause are dropped; callers repeat them.

--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -70,6 +70,8 @@
 	// held is true while this VM holds the target, under number.
 	held   bool
 	number core.HoldingNumber
+	// heldSince is when this VM got the target.
+	heldSince time.Duration
 	// dropped is the highest number under which this VM had to drop the target.
 	dropped core.HoldingNumber
 	// highest is the highest number heard of.
@@ -448,6 +450,7 @@
 	if !received {
 		return
 	}
+	h.heldSince = c.now
 	c.emit(core.Event{Kind: core.EventHandoverDone, VM: c.opts.Self, Target: t.id, Value: uint64(number)})
 	h.take = nil
 	if h.claim.beats(claim{vm: c.opts.Self, number: number}) {
@@ -580,7 +583,10 @@
 	if p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch {
 		return false
 	}
-	return c.stop.leaving || c.zoneOut(t.target.Zone) || c.now-h.desiredAt >= handoverAfter
+	// A target that has just arrived is not handed back before the sender's heartbeats can say that
+	// it leaves.
+	settled := c.now-max(h.desiredAt, h.heldSince) >= handoverAfter
+	return c.stop.leaving || c.zoneOut(t.target.Zone) || settled
 }
 
 // releases returns the number of handovers under way.
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -405,6 +405,7 @@
 	o.ramp.boot = b.Boot
 	o.quarantineUntil = s.now + b.QuarantineLeft
 	o.formerUntil = s.now + b.HoldLeft
+	o.formerCold = b.Cold
 	o.rebuildUntil = s.now + b.RebuildLeft
 	// Idempotent requests have no records, and refusals of them may cross repetitions.
 	o.idempotentFrom = s.now + max(b.IdempotentLeft, core.RequestLifetime)
--- a/core/traffic/limits.go
+++ b/core/traffic/limits.go
@@ -17,6 +17,9 @@
 	gateWait = time.Second
 	// newerGenerationWait bounds the wait for a newer generation that is known to exist.
 	newerGenerationWait = 2 * time.Second
+	// discardAfterPause is the time in which the sockets and mailboxes that filled during a pause are
+	// read; a full mailbox takes 80 ms.
+	discardAfterPause = 500 * time.Millisecond
 	// queryWait is the time in which peers can answer a FlowQuery.
 	queryWait = 50 * time.Millisecond
 	// queriesPerSecond bounds the FlowQuery broadcasts of a shard.
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -46,6 +46,9 @@
 
 	// formerUntil is the time until which a former holder may still act.
 	formerUntil time.Duration
+	// formerCold is true when the former holder may have found the target cold. Otherwise idempotent
+	// requests are served at the cold limit before formerUntil: a warm target bears both holders.
+	formerCold bool
 	// quarantineUntil is the time until which a request may arrive that a former holder started.
 	quarantineUntil time.Duration
 	// idempotentFrom is the time from which "not run" can be said about idempotent requests.
@@ -150,6 +153,7 @@
 	}
 	o := s.newOwner(t.Target, t.Number)
 	o.formerUntil = t.FormerUntil
+	o.formerCold = o.view == nil || o.view.Load.Limit == 0 || o.view.Load.Cold
 	if !t.First {
 		last := max(t.FormerUntil, t.FormerDiedBy)
 		o.quarantineUntil = last + core.RequestLifetime
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -93,7 +93,10 @@
 // place chooses the target of a new flow.
 func (s *Shard) place(o *owner, f *core.ForwardRequest) *flowEntry {
 	flow := f.Request.Flow
-	target := s.choose(o, flow, f.Asked)
+	target := o.id
+	if !s.keepsLost(o, flow) {
+		target = s.choose(o, flow, f.Asked)
+	}
 	if target == 0 {
 		// The flow may be placed elsewhere soon, where nobody knows of this refusal.
 		r := s.newRequest(o, f)
@@ -114,6 +117,17 @@
 	return o.flows.get(&flow)
 }
 
+// keepsLost reports whether an unknown flow may be one that the target's lost former holder had
+// placed here. Such a flow stays on its primary: a new flow in its place costs some balance, while
+// an old one that is placed by load breaks.
+func (s *Shard) keepsLost(o *owner, flow core.FlowKey) bool {
+	if s.now >= o.rebuildUntil || !s.accepts(o) || o.full() {
+		return false
+	}
+	c := s.candidates(flow)
+	return len(c) > 0 && c[len(c)-1] == o.id
+}
+
 // redirect forwards a request of a flow that this owner placed on another target.
 func (s *Shard) redirect(o *owner, target core.TargetID, f *core.ForwardRequest) {
 	flow := f.Request.Flow
--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -19,6 +19,8 @@
 type query struct {
 	f     *core.ForwardRequest
 	since time.Duration
+	// guess is the target that a peer guessed; it counts when no peer knows better in time.
+	guess core.TargetID
 }
 
 func newQueries() queries { return queries{budget: queriesPerSecond} }
@@ -54,7 +56,7 @@
 		return false
 	}
 	f.Queried = true
-	s.queries.waiting = append(s.queries.waiting, query{f, s.now})
+	s.queries.waiting = append(s.queries.waiting, query{f: f, since: s.now})
 	return true
 }
 
@@ -84,27 +86,29 @@
 
 // onQuery tells a peer where a flow is. Only shards that know the flow answer.
 func (s *Shard) onQuery(from core.VMName, m *core.FlowQuery) {
-	target := s.whereIs(m.Flow)
+	target, guess := s.whereIs(m.Flow)
 	if target != 0 {
-		s.send(from, &core.FlowReply{Flow: m.Flow, Target: target})
+		s.send(from, &core.FlowReply{Flow: m.Flow, Target: target, Guess: guess})
 	}
 }
 
-// whereIs returns the target of a flow by its placement, else by the ingress note.
-func (s *Shard) whereIs(flow core.FlowKey) core.TargetID {
+// whereIs returns the target of a flow by its placement, else by the ingress note, and whether the
+// note is a guess. A guess that is the flow's primary says nothing that the asker does not know.
+func (s *Shard) whereIs(flow core.FlowKey) (target core.TargetID, guess bool) {
 	for _, o := range s.ordered {
 		if e := o.flows.get(&flow); e != nil && !o.evicted(s.now) && o.doubts[flow] == nil {
-			return e.target
+			return e.target, false
 		}
 	}
 	e := s.notes.get(&flow)
 	if e == nil || e.idle(s.now) > core.FlowIdle {
-		return 0
+		return 0, false
 	}
-	if e.seen&guessFlag != 0 && slices.Contains(s.candidates(flow), e.target) {
-		return 0
+	guess = e.seen&guessFlag != 0
+	if c := s.candidates(flow); guess && len(c) > 0 && c[len(c)-1] == e.target {
+		return 0, false
 	}
-	return e.target
+	return e.target, guess
 }
 
 // onReply sends the waiting requests of a flow to its target and confirms redirects.
@@ -115,7 +119,7 @@
 	for _, o := range s.ordered {
 		e := o.flows.get(&m.Flow)
 		switch {
-		case e == nil:
+		case e == nil || m.Guess:
 		case e.target != o.id && e.target == m.Target:
 			e.touch(s.now)
 		case e.target == o.id && m.Target != o.id && o.guessed.has(m.Flow, s.now) && s.now < o.quarantineUntil:
@@ -126,7 +130,10 @@
 	waiting := s.queries.waiting
 	s.queries.waiting = nil
 	for _, q := range waiting {
-		if q.f.Request.Flow != m.Flow || s.contradicted(q, m.Target) {
+		if q.f.Request.Flow == m.Flow && m.Guess {
+			q.guess = m.Target
+		}
+		if q.f.Request.Flow != m.Flow || m.Guess || s.contradicted(q, m.Target) {
 			s.queries.waiting = append(s.queries.waiting, q)
 			continue
 		}
@@ -196,6 +203,6 @@
 			s.queries.waiting = append(s.queries.waiting, q)
 			continue
 		}
-		s.resume(q, 0)
+		s.resume(q, q.guess)
 	}
 }
--- a/core/traffic/queue.go
+++ b/core/traffic/queue.go
@@ -155,7 +155,7 @@
 		return core.ReasonTargetLost, 0
 	case s.now < v.NotBefore:
 		return core.ReasonNoTarget, v.NotBefore
-	case s.now < o.formerUntil:
+	case s.now < o.formerUntil && o.formerCold:
 		return core.ReasonNoAuthority, o.formerUntil
 	case o.ramp.cold && !s.authority():
 		return core.ReasonNoAuthority, 0
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -37,10 +37,12 @@
 	running bool
 	// jumped is true while the first input after a pause of the process is handled; lapsed is true
 	// from then until the next snapshot.
-	jumped  bool
-	lapsed  bool
-	stopped bool
-	drained bool
+	jumped bool
+	// discardUntil is the time until which requests may come from queues that filled in a pause.
+	discardUntil time.Duration
+	lapsed       bool
+	stopped      bool
+	drained      bool
 
 	notes    flowTable
 	owners   map[core.TargetID]*owner
@@ -105,6 +107,7 @@
 	s.running = true
 	if s.jumped {
 		s.lapsed = true
+		s.discardUntil = now + discardAfterPause
 		s.emit(core.Event{Kind: core.EventClockJump, VM: s.opts.Self})
 	}
 	s.now = max(s.now, now)
@@ -115,6 +118,9 @@
 	case core.SnapshotPublished:
 		s.onSnapshot(in.Snapshot)
 	case core.CallerRequest:
+		if s.discards(s.opts.Self) {
+			return
+		}
 		s.onCaller(in.Request)
 	case core.TargetAnswer:
 		s.onAnswer(in)
@@ -137,9 +143,23 @@
 	}
 }
 
+// discards reports whether a request that has just been read may have waited during a pause of this
+// process. Its age is not known then, and records of its other copies may have expired, so it is
+// dropped; its caller repeats it if it is young.
+func (s *Shard) discards(from core.VMName) bool {
+	if s.now >= s.discardUntil {
+		return false
+	}
+	s.emit(core.Event{Kind: core.EventPacketDropped, VM: from})
+	return true
+}
+
 func (s *Shard) onMessage(from core.VMName, m core.Message) {
 	switch m := m.(type) {
 	case *core.ForwardRequest:
+		if from != s.opts.Self && s.discards(from) {
+			return
+		}
 		s.onForward(m)
 	case *core.FlowLearned:
 		s.notes.put(m.Flow, m.Target, s.now)
--- a/internal/coretest/trace.go
+++ b/internal/coretest/trace.go
@@ -6,13 +6,19 @@
 	"github.com/mangoweir/mangoweir/core"
 )
 
+// AllCallers as TraceCaller traces the flows of all callers.
+const AllCallers = -1
+
 // trace writes a line when an input or action concerns the traced flow.
 func (w *World) trace(m *machine, dir string, what any) {
 	if w.Opts.Trace == nil {
 		return
 	}
 	flow, text := w.describe(what)
-	if text == "" || flow.Port == 0 || flow != callerKey(w.Opts.TraceCaller, flow.Service) {
+	if text == "" || flow.Port == 0 {
+		return
+	}
+	if w.Opts.TraceCaller != AllCallers && flow != callerKey(w.Opts.TraceCaller, flow.Service) {
 		return
 	}
 	w.Opts.Trace(fmt.Sprintf("%8.4f %s %s %s", w.now.Seconds(), m.info.Name, dir, text))
--- a/internal/daemon/runtime.go
+++ b/internal/daemon/runtime.go
@@ -41,6 +41,7 @@
 // newRuntime starts the goroutines of a VM's core.
 func newRuntime(opts control.Options, shards int, out performer) *runtime {
 	r := &runtime{self: opts.Self, start: time.Now(), out: out}
+	opts.Shards = shards
 	r.control = r.run(control.New(opts))
 	for i := range shards {
 		r.shards = append(r.shards, newMailbox())
