Say not run only about non-idempotent requests

The randomized test, extended to reads, found reads that ran although their caller was told they had not: a VM that is cut off serves idempotent requests without authority, so no other VM can know. Remembering recent requests per shard, passing refusals on in handovers and waiting after takeovers were tried and did not close it. Refusals of idempotent requests say now that the outcome is unknown, which costs their callers nothing, and the memory of recent requests is gone.

--- a/core/message.go
+++ b/core/message.go
@@ -153,8 +153,6 @@
 	QuarantineLeft time.Duration
 	// HoldLeft is the time in which a holder before the sender may still act.
 	HoldLeft time.Duration
-	// IdempotentLeft is the time in which nothing is known about idempotent requests of before.
-	IdempotentLeft time.Duration
 	// RebuildLeft is the time in which flows may appear that a lost holder before the sender had.
 	RebuildLeft time.Duration
 	// Former are the former target sets of the service that the sender knows, newest first. The
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -55,7 +55,6 @@
 		InFlight:       uint16(o.inFlight),
 		QuarantineLeft: max(o.quarantineUntil-s.now, 0),
 		HoldLeft:       max(o.formerUntil-s.now, 0),
-		IdempotentLeft: max(o.idempotentFrom-s.now, 0),
 		RebuildLeft:    max(o.rebuildUntil-s.now, 0),
 	}
 	if o.view == nil {
@@ -244,7 +243,6 @@
 	for _, o := range s.ordered {
 		if o.handover != nil && o.handover.to == peer {
 			o.quarantineUntil = max(o.quarantineUntil, s.now+core.RequestLifetime)
-			o.idempotentFrom = max(o.idempotentFrom, s.now+core.RequestLifetime)
 			s.resumeHolding(o)
 		}
 	}
@@ -406,8 +404,6 @@
 	o.quarantineUntil = s.now + b.QuarantineLeft
 	o.formerUntil = s.now + b.HoldLeft
 	o.rebuildUntil = s.now + b.RebuildLeft
-	// Idempotent requests have no records, and refusals of them may cross repetitions.
-	o.idempotentFrom = s.now + max(b.IdempotentLeft, core.RequestLifetime)
 	for _, c := range in.chunks {
 		s.receiveChunk(o, c)
 	}
--- a/core/traffic/limits.go
+++ b/core/traffic/limits.go
@@ -25,8 +25,8 @@
 	handoverResend = 200 * time.Millisecond
 	// handoverWait is the time without confirmation after which waiting requests are refused.
 	handoverWait = time.Second
-	// refusalMemory is how long the refusal of an idempotent request is kept: the refusal and a
-	// repeated packet that crosses it may each spend PacketLife in the network.
+	// refusalMemory is the time after a refusal in which the request may arrive again: the refusal
+	// and a repeated packet that crosses it may each spend PacketLife in the network.
 	refusalMemory = 4 * time.Second
 	// oldFeedTime is how long a former holder relays notifications until the new one has
 	// registered the feeds again.
@@ -55,7 +55,6 @@
 
 	maxHops         = 40
 	maxParked       = 2048
-	maxMarks        = 1 << 16
 	maxAnswerBytes  = 4 << 20
 	maxQueries      = 1024
 	maxChunkBytes   = 48 << 10
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -48,8 +48,6 @@
 	formerUntil time.Duration
 	// quarantineUntil is the time until which a request may arrive that a former holder started.
 	quarantineUntil time.Duration
-	// idempotentFrom is the time from which "not run" can be said about idempotent requests.
-	idempotentFrom time.Duration
 	// rebuildUntil is the time until which flows may appear that the lost former holder had.
 	rebuildUntil time.Duration
 
@@ -154,11 +152,9 @@
 		last := max(t.FormerUntil, t.FormerDiedBy)
 		o.quarantineUntil = last + core.RequestLifetime
 		if t.BackupInSync && s.wasBackup(t.Target) {
-			// Refusals of the former holder are not in the backup's copy: repetitions that crossed
-			// them arrive for as long as refusals are remembered.
+			// Refusals of the former holder are not in the backup's copy.
 			o.quarantineUntil = last + refusalMemory
 		}
-		o.idempotentFrom = last + core.RequestLifetime
 		o.rebuildUntil = s.now + core.FlowIdle
 		s.adoptBackup(o)
 		s.emit(core.Event{Kind: core.EventTakeOver, VM: s.opts.Self, Target: t.Target, Value: uint64(t.Number)})
@@ -295,29 +291,3 @@
 	o.reportedAt = s.now
 	s.emit(core.LoadChanged{Target: o.id, Load: load})
 }
-
-// untilTable keeps keys until given times, which never decrease.
-type untilTable[K comparable] struct {
-	m     map[K]time.Duration
-	order fifo[K]
-}
-
-func (t *untilTable[K]) init() { t.m = map[K]time.Duration{} }
-
-func (t *untilTable[K]) put(k K, until time.Duration) {
-	if _, ok := t.m[k]; !ok {
-		t.order.push(k)
-	}
-	t.m[k] = until
-}
-
-func (t *untilTable[K]) has(k K, now time.Duration) bool {
-	until, ok := t.m[k]
-	return ok && now < until
-}
-
-func (t *untilTable[K]) expire(now time.Duration) {
-	for n := t.order.len(); n > 0 && t.m[*t.order.first()] <= now; n-- {
-		delete(t.m, t.order.pop())
-	}
-}
--- a/core/traffic/refusal.go
+++ b/core/traffic/refusal.go
@@ -68,13 +68,12 @@
 
 // runStatus says whether any attempt of a request, sent by any VM, may have run.
 func (s *Shard) runStatus(o *owner, r *request) core.RunStatus {
-	if r.ran || r.unresolved > 0 || !r.cleared || !s.vouches(o) {
+	// A VM that is cut off serves idempotent requests without authority, so that nobody can know
+	// that none of the copies of one has run.
+	if r.req.Idempotent || r.ran || r.unresolved > 0 || !r.cleared || !s.vouches(o) {
 		return core.RunUnknown
 	}
-	if r.req.Idempotent && (s.now < o.idempotentFrom || s.marks.mayHaveRun(r.key, s.now)) {
-		return core.RunUnknown
-	}
-	if !r.req.Idempotent && o.records.get(r.key) == nil && o.records.full() {
+	if o.records.get(r.key) == nil && o.records.full() {
 		return core.RunUnknown
 	}
 	return core.NotRun
@@ -86,21 +85,17 @@
 	return s.authority() && s.now >= o.formerUntil && s.now >= o.quarantineUntil && !o.uncertain()
 }
 
-// remember keeps a refusal, so that a late repetition is not run after the caller was told.
+// remember keeps the refusal of a non-idempotent request, so that a late repetition is not run after
+// the caller was told.
 func (s *Shard) remember(o *owner, r *request, reason core.RefusalReason, run core.RunStatus, comeBack time.Duration) {
-	if !r.req.Idempotent {
-		state := core.RecordNotRun
-		if run == core.RunUnknown {
-			state = core.RecordUnknown
-		}
-		// Without a record of its own the request may start elsewhere; only this VM's view is kept.
-		s.setRecord(o, r.key, record{state: state, reason: reason, comeBackAt: s.now + comeBack})
+	if r.req.Idempotent {
 		return
 	}
-	// A block of an upload keeps its id when the caller comes back with it.
-	if run == core.NotRun && !r.req.Sticky {
-		s.marks.refused(r.key, reason, s.now, s.now+comeBack)
+	state := core.RecordNotRun
+	if run == core.RunUnknown {
+		state = core.RecordUnknown
 	}
+	s.setRecord(o, r.key, record{state: state, reason: reason, comeBackAt: s.now + comeBack})
 }
 
 // comeBack estimates when a request would be accepted.
--- a/core/traffic/remote.go
+++ b/core/traffic/remote.go
@@ -98,7 +98,6 @@
 	}
 	switch {
 	case m.Idempotent:
-		s.marks.markRan(k, s.now)
 	case m.Record.State == core.RecordQueued:
 		// The target shed it; the former holder forwards it.
 		delete(o.records.m, k)
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -113,14 +113,6 @@
 		s.event(core.EventDuplicateAbsorbed, o.id)
 		return true
 	}
-	if r.Idempotent {
-		m, ok := s.marks.refusalOf(key, s.now)
-		if ok {
-			s.event(core.EventDuplicateAbsorbed, o.id)
-			s.repeatRefusal(f, m.reason, core.NotRun, m.comeBackAt)
-		}
-		return ok
-	}
 	rec := o.records.get(key)
 	if rec == nil {
 		return false
@@ -147,7 +139,7 @@
 		ingress:  f.Ingress,
 		arrived:  s.now,
 		deadline: s.now + s.remaining(f),
-		cleared:  sure && !f.Unreached,
+		cleared:  sure && !f.Unreached && o.doubts[f.Request.Flow] == nil,
 		renewal:  f.Renewal,
 	}
 }
@@ -234,9 +226,6 @@
 	}
 	delete(o.active, r.key)
 	o.live = slices.DeleteFunc(o.live, func(x *request) bool { return x == r })
-	if r.req.Idempotent && (r.ran || r.unresolved > 0) {
-		s.marks.markRan(r.key, s.now)
-	}
 }
 
 // cancelRequest withdraws the request or the feed with the given id. It reports whether it is here.
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -54,7 +54,6 @@
 	retryFund float64
 	feeds     map[core.AttemptToken]*feed
 	oldFeeds  []oldFeed
-	marks     marks
 	backups   map[core.TargetID]*backupCopy
 	duties    map[core.TargetID]backupDuty
 	watches   watches
@@ -78,7 +77,6 @@
 		attempts:  map[core.AttemptToken]*attempt{},
 		retryFund: retryReserve,
 		feeds:     map[core.AttemptToken]*feed{},
-		marks:     newMarks(),
 		backups:   map[core.TargetID]*backupCopy{},
 		duties:    map[core.TargetID]backupDuty{},
 		watches:   newWatches(),
@@ -214,7 +212,6 @@
 	s.expireIncoming()
 	s.watches.expire(s.now)
 	s.noteHolders()
-	s.marks.expire(s.now)
 	s.sweepNotes()
 	s.pumpAll()
 }
