--- a/core/message.go
+++ b/core/message.go
@@ -98,6 +98,9 @@
 	Moved bool
 	// Queried is true when peers were asked about the flow.
 	Queried bool
+	// Once is true for an idempotent request that another target has shed: it runs on Target, and
+	// its flow stays where it is.
+	Once bool
 	// Renewal is true when Request registers a live feed again whose caller has already got its
 	// first answer.
 	Renewal    bool
--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -181,7 +181,31 @@
 		s.refuseRequest(o, r, core.ReasonShed)
 		return
 	}
-	s.retry(o, r)
+	if !s.retryElsewhere(o, r) {
+		s.retry(o, r)
+	}
+}
+
+// retryElsewhere sends an idempotent request that was shed to another target. Requests that belong
+// to a feed or an upload stay on their target. It reports false when the request has to stay.
+func (s *Shard) retryElsewhere(o *owner, r *request) bool {
+	stays := !r.req.Idempotent || r.req.Sticky || r.once || r.req.Class == core.ClassFeed
+	if stays || r.req.Class == core.ClassUpload || r.req.Method != core.MethodOther {
+		return false
+	}
+	if s.owners[o.id] != o || o.feeds.has(r.req.Flow) {
+		return false
+	}
+	target := s.choose(o, r.req.Flow, []core.TargetID{o.id})
+	if target == 0 || s.holderOf(target) == "" {
+		return false
+	}
+	s.finish(o, r)
+	f := r.forward(s)
+	f.Target = target
+	f.Once = true
+	s.dispatch(f)
+	return true
 }
 
 // mayRetry reports whether the retry budget and the request's deadline allow another attempt, and
--- a/core/traffic/once_test.go
+++ b/core/traffic/once_test.go
@@ -261,6 +261,26 @@
 			So(f.owner(1).inFlight, ShouldEqual, 0)
 		})
 	})
+	Convey("Given a read that its target sheds, another target runs it and the flow stays", t, func() {
+		f := newFleet(t, 2, 2)
+		f.warm()
+		f.request("a", read(1, 1))
+		first := f.last()
+		f.verdict(first, core.AnswerShed, "")
+		So(f.last().Target, ShouldNotEqual, first.Target)
+		f.verdict(f.last(), core.AnswerOK, "x")
+		So(f.answers, ShouldHaveLength, 1)
+		f.request("b", read(1, 2))
+		So(f.last().Target, ShouldEqual, first.Target)
+		f.verdict(f.last(), core.AnswerOK, "")
+		Convey("but not when the flow has a feed", func() {
+			f.request("a", subscribe(1, 3))
+			f.verdict(f.last(), core.AnswerNotification, "")
+			f.request("a", read(1, 4))
+			f.verdict(f.last(), core.AnswerShed, "")
+			So(f.last().Target, ShouldEqual, first.Target)
+		})
+	})
 	Convey("Given many sheds, retries stay within the budget", t, func() {
 		f := newFleet(t, 1, 1)
 		for i := range 100 {
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -156,6 +156,10 @@
 
 // moveRequest sends a waiting request to the flow's new target.
 func (s *Shard) moveRequest(o *owner, r *request) {
+	if r.once {
+		s.refuseRequest(o, r, core.ReasonTargetLost)
+		return
+	}
 	s.finish(o, r)
 	delete(o.records.m, r.key)
 	s.move(o, r.forward(s))
@@ -169,6 +173,7 @@
 		Cleared:    r.cleared,
 		Unreached:  !r.cleared,
 		Renewal:    r.renewal,
+		Once:       r.once,
 		Ingress:    r.ingress,
 		Hops:       2,
 		Generation: s.snap.Config.Generation,
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -37,6 +37,8 @@
 	cleared bool
 	// renewal is true for the registration of a feed by this VM itself.
 	renewal bool
+	// once is true for a request of a flow on another target.
+	once bool
 	// cancelled is true when the caller withdrew the request.
 	cancelled bool
 	retries   int
@@ -67,6 +69,10 @@
 		s.holdBack(o, f)
 		return
 	}
+	if f.Once {
+		s.admit(o, f)
+		return
+	}
 	e := o.flows.get(&r.Flow)
 	if e == nil {
 		e = s.locate(o, f)
@@ -141,6 +147,7 @@
 		deadline: s.now + s.remaining(f),
 		cleared:  sure && !f.Unreached && o.doubts[f.Request.Flow] == nil,
 		renewal:  f.Renewal,
+		once:     f.Once,
 	}
 }
 
