--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -37,6 +37,8 @@
 	cleared bool
 	// renewal is true for the registration of a feed by this VM itself.
 	renewal bool
+	// once is true for a request of a flow on another target.
+	once bool
 	// cancelled is true when the caller withdrew the request.
 	cancelled bool
 	retries   int
@@ -67,6 +69,10 @@
 		s.holdBack(o, f)
 		return
 	}
+	if f.Once {
+		s.admit(o, f)
+		return
+	}
 	e := o.flows.get(&r.Flow)
 	if e == nil {
 		e = s.locate(o, f)
@@ -113,14 +119,6 @@
 		s.event(core.EventDuplicateAbsorbed, o.id)
 		return true
 	}
-	if r.Idempotent {
-		m, ok := s.marks.refusalOf(key, s.now)
-		if ok {
-			s.event(core.EventDuplicateAbsorbed, o.id)
-			s.repeatRefusal(f, m.reason, core.NotRun, m.comeBackAt)
-		}
-		return ok
-	}
 	rec := o.records.get(key)
 	if rec == nil {
 		return false
@@ -147,8 +145,9 @@
 		ingress:  f.Ingress,
 		arrived:  s.now,
 		deadline: s.now + s.remaining(f),
-		cleared:  sure && !f.Unreached,
+		cleared:  sure && !f.Unreached && o.doubts[f.Request.Flow] == nil,
 		renewal:  f.Renewal,
+		once:     f.Once,
 	}
 }
 
@@ -234,9 +233,6 @@
 	}
 	delete(o.active, r.key)
 	o.live = slices.DeleteFunc(o.live, func(x *request) bool { return x == r })
-	if r.req.Idempotent && (r.ran || r.unresolved > 0) {
-		s.marks.markRan(r.key, s.now)
-	}
 }
 
 // cancelRequest withdraws the request or the feed with the given id. It reports whether it is here.
