Watch only heartbeat peers in large fleets

With more than 9 VMs a VM exchanges heartbeats with ring neighbours only, but took the silence of all others for suspicion and removed them from the list. Silence now counts for watched peers only; other members count as alive while their list names them. Early heartbeats refill every 2 s.

--- a/core/control/heartbeat.go
+++ b/core/control/heartbeat.go
@@ -24,7 +24,7 @@
 	// earlyBurst bounds heartbeats ahead of time, which spread news; one more is allowed after
 	// earlyRefill.
 	earlyBurst  = 3
-	earlyRefill = time.Second
+	earlyRefill = 2 * time.Second
 	// earlyGap is the least time between two heartbeats ahead of time.
 	earlyGap = 100 * time.Millisecond
 )
@@ -121,10 +121,27 @@
 	if c.beats.chosenFor != c.view.structure || c.beats.receivers == nil {
 		c.beats.receivers = c.chooseReceivers()
 		c.beats.chosenFor = c.view.structure
+		c.watch(c.beats.receivers)
 	}
 	return c.beats.receivers
 }
 
+// watch marks the peers from which heartbeats are expected. Silence counts from when that begins.
+func (c *Control) watch(receivers []*peer) {
+	c.peers.all(func(_ core.VMName, p *peer) bool {
+		watched := p.dead || slices.Contains(receivers, p)
+		if watched && !p.watched {
+			p.lastHeard = c.now
+			p.heardSince = c.now
+		}
+		if !watched {
+			p.suspect = false
+		}
+		p.watched = watched
+		return true
+	})
+}
+
 // chooseReceivers returns all peers of a small fleet, and ring neighbours in a larger one. Dead
 // peers are skipped; a restarted process makes itself known by its own heartbeat.
 func (c *Control) chooseReceivers() []*peer {
--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -21,6 +21,9 @@
 	// unheldGrace is the time for which nobody may announce a target before it is taken over from
 	// a live VM; a handover takes at most a second and is announced with the next heartbeat.
 	unheldGrace = 1500 * time.Millisecond
+	// unwatchedGrace is the same when members exist whose announcements this VM does not get. They
+	// hand the target over as soon as they see that this VM is desired.
+	unwatchedGrace = 5 * time.Second
 	// dropGrace is the time for which a handover's sender leaves it to the shard to notice that
 	// the receiver holds the target.
 	dropGrace = 1500 * time.Millisecond
@@ -262,7 +265,7 @@
 	}
 	none := true
 	c.peers.all(func(_ core.VMName, p *peer) bool {
-		none = p.zone != name || !p.live()
+		none = p.zone != name || !c.alive(p)
 		return none
 	})
 	return none
@@ -274,7 +277,7 @@
 	if e.name == c.opts.Self {
 		return !c.stop.leaving
 	}
-	return e.peer != nil && e.peer.available()
+	return e.peer != nil && c.available(e.peer)
 }
 
 // desired returns the VM that should hold a target. VMs that are no members yet are desired only
@@ -553,7 +556,7 @@
 	case p == nil || p.dead:
 		c.endRelease(h)
 	case c.now-r.at < releaseTimeout:
-	case p.available():
+	case c.available(p):
 		c.tellRelease(t)
 	case p.suspect && c.replaceable(p):
 		c.endRelease(h)
@@ -574,10 +577,10 @@
 func (c *Control) releaseDue(t *target) bool {
 	h := &t.holding
 	p := c.peers.get(h.desired)
-	if p == nil || !p.available() || h.take != nil || c.now < h.retryAfter {
+	if p == nil || !c.available(p) || h.take != nil || c.now < h.retryAfter {
 		return false
 	}
-	if p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch {
+	if p.watched && (p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch) {
 		return false
 	}
 	return c.stop.leaving || c.zoneOut(t.target.Zone) || c.now-h.desiredAt >= handoverAfter
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/rendezvous"
 )
 
 const (
@@ -295,8 +296,7 @@
 	if z.changeSince == never {
 		z.changeSince = c.now
 	}
-	turn := time.Duration(c.rankInZone(z.name, saltWriter)) * deputyDelay
-	if c.now-z.changeSince < turn || !c.callAllowed(o) {
+	if c.now-z.changeSince < c.turn(z) || !c.callAllowed(o) {
 		return
 	}
 	z.written = wanted
@@ -304,6 +304,16 @@
 	c.start(o, core.WriteMembers{Zone: z.name, Expect: z.epoch, Members: wanted})
 }
 
+// turn returns how long this VM leaves a change to others: by its rank, or, in a fleet where only some
+// VMs hear of the change, a time that differs from VM to VM.
+func (c *Control) turn(z *zone) time.Duration {
+	if len(c.peers.keys) <= maxHeartbeatPeers {
+		return time.Duration(c.rankInZone(z.name, saltWriter)) * deputyDelay
+	}
+	own := rendezvous.Mix(saltWriter, rendezvous.HashString(string(c.opts.Self)))
+	return time.Duration(own % uint64(deputyDelay))
+}
+
 // mayWrite reports whether this VM may change the zone's list: as one of its members, or as a member
 // of another zone in service when no member is heard. Members of zones in service are heard by all
 // VMs that have authority while the platform is silent, so they can't be replaced by VMs that they
@@ -320,7 +330,7 @@
 	}
 	return !slices.ContainsFunc(z.members, func(m core.Member) bool {
 		p := c.peers.get(m.Name)
-		return p != nil && p.live()
+		return p != nil && c.alive(p)
 	})
 }
 
@@ -331,7 +341,7 @@
 			return m.Incarnation > c.opts.Incarnation
 		}
 		p := c.peers.get(m.Name)
-		return p == nil || !p.gone(m.Incarnation) && c.silence(p) < lostAfter
+		return p == nil || !p.gone(m.Incarnation) && (!p.watched || c.silence(p) < lostAfter)
 	})
 }
 
@@ -344,7 +354,7 @@
 	c.zones.all(func(_ core.ZoneName, z *zone) bool {
 		for _, m := range z.members {
 			p := c.peers.get(m.Name)
-			if p == nil || p.gone(m.Incarnation) {
+			if p == nil || !p.watched || p.gone(m.Incarnation) {
 				continue
 			}
 			all++
@@ -374,7 +384,7 @@
 		add(c.opts.Self, c.opts.Incarnation, c.opts.Addr)
 	}
 	c.peers.all(func(_ core.VMName, p *peer) bool {
-		if p.zone == z.name && p.available() && c.now-p.heardSince >= joinAfter {
+		if p.zone == z.name && p.live() && p.state != core.VMLeaving && c.now-p.heardSince >= joinAfter {
 			add(p.name, p.incarnation, p.addr)
 		}
 		return true
@@ -395,7 +405,7 @@
 	if p.gone(m.Incarnation) || p.state == core.VMLeaving && p.heard() && len(p.holdings) == 0 {
 		return false
 	}
-	return c.silence(p) <= c.removalLimit(z)
+	return !p.watched || c.silence(p) <= c.removalLimit(z)
 }
 
 // removalLimit returns the silence after which this VM removes a member.
--- a/core/control/peer.go
+++ b/core/control/peer.go
@@ -41,6 +41,9 @@
 	heardSince time.Duration
 	lastHeard  time.Duration
 	suspect    bool
+	// watched is true when this VM and the peer exchange heartbeats. Only then does silence mean
+	// anything.
+	watched bool
 	// deadUpTo is the newest incarnation that is known to have ended; diedAt is when that was
 	// learned.
 	dead     bool
@@ -77,7 +80,7 @@
 		}
 		p = &peer{
 			name: name, hash: rendezvous.HashString(string(name)), knownSince: c.now,
-			heardSince: c.now, lastHeard: c.now, sentNotBefore: never, confirmedAt: never,
+			watched: true, heardSince: c.now, lastHeard: c.now, sentNotBefore: never, confirmedAt: never,
 			// Sequence numbers start above those of earlier incarnations, so that a peer's
 			// acknowledgement can't refer to a message of an earlier process.
 			seqOut: uint64(c.opts.Incarnation) << 24,
@@ -111,8 +114,17 @@
 // live reports whether the peer was heard within SuspectAfter.
 func (p *peer) live() bool { return p.heard() && !p.suspect }
 
-// available reports whether the peer can take over targets.
-func (p *peer) available() bool { return p.live() && p.state != core.VMLeaving }
+// alive reports whether a peer counts as alive: it is heard, or, when it exchanges no heartbeats with
+// this VM, its zone's list names it.
+func (c *Control) alive(p *peer) bool {
+	if p.watched {
+		return p.live()
+	}
+	return !p.dead && c.memberIncarnation(p) != 0
+}
+
+// available reports whether a peer counts as able to take over targets.
+func (c *Control) available(p *peer) bool { return c.alive(p) && p.state != core.VMLeaving }
 
 // gone reports whether the given incarnation of the VM is known to have ended.
 func (p *peer) gone(inc core.Incarnation) bool {
@@ -168,7 +180,7 @@
 	var forgotten []*peer
 	c.peers.all(func(_ core.VMName, p *peer) bool {
 		silent := c.now - p.lastHeard
-		if !p.suspect && silent > core.SuspectAfter {
+		if p.watched && !p.suspect && silent > core.SuspectAfter {
 			p.suspect = true
 			if p.heard() {
 				c.emit(core.Event{Kind: core.EventPeerSuspect, VM: p.name, Zone: p.zone})
--- a/core/control/platform.go
+++ b/core/control/platform.go
@@ -181,7 +181,7 @@
 	self := rendezvous.Mix(key, rendezvous.HashString(string(c.opts.Self)))
 	rank := 0
 	c.peers.all(func(_ core.VMName, p *peer) bool {
-		if (zone != c.opts.Zone || p.zone == zone) && p.available() && rendezvous.Mix(key, p.hash) > self {
+		if (zone != c.opts.Zone || p.zone == zone) && c.available(p) && rendezvous.Mix(key, p.hash) > self {
 			rank++
 		}
 		return true
--- a/core/control/stop.go
+++ b/core/control/stop.go
@@ -47,7 +47,7 @@
 func (c *Control) hasReceiver() bool {
 	found := false
 	c.peers.all(func(_ core.VMName, p *peer) bool {
-		found = p.available()
+		found = c.available(p)
 		return !found
 	})
 	return found
--- a/core/control/takeover.go
+++ b/core/control/takeover.go
@@ -103,7 +103,11 @@
 	if c.ended(h.former) {
 		return true
 	}
-	return c.now-h.unheldSince >= unheldGrace
+	grace := unheldGrace
+	if slices.ContainsFunc(h.electors, func(e elector) bool { return e.peer != nil && !e.peer.watched }) {
+		grace = unwatchedGrace
+	}
+	return c.now-max(h.unheldSince, h.desiredAt) >= grace
 }
 
 // replaceable reports whether a suspect VM may be replaced: the writer of its zone's list has agreed
@@ -124,7 +128,7 @@
 		if e.gone() {
 			continue
 		}
-		if e.peer == nil || !e.peer.heard() && !e.peer.suspect {
+		if e.peer == nil || e.peer.watched && !e.peer.heard() && !e.peer.suspect {
 			return false
 		}
 		if ahead && !(e.peer.live() && e.peer.state == core.VMLeaving) && !(e.peer.suspect && c.replaceable(e.peer)) {
@@ -248,7 +252,7 @@
 	}
 	// In a large fleet not every member exchanges heartbeats with this VM. Those lose authority
 	// with their confirmation if the members changed.
-	return !slices.Contains(c.heartbeatPeers(), e.peer) && !e.peer.dead
+	return !e.peer.watched
 }
 
 // acknowledged reports whether a peer has received a heartbeat that announced the takeover. It has
