Test decisions of control; look at time-driven changes less often

Every tick walked all targets, peers and members. Ranks are now cached per change, and what time alone changes is looked at every 100 or 200 ms. The use of addresses is recorded before a configuration is installed, as an address could move within the same configuration that reassigns it. Reports about targets that no configuration names yet are kept until one does.

--- a/core/control/config.go
+++ b/core/control/config.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -144,7 +145,8 @@
 	c.touch(changeStructure)
 	c.hasNews()
 	c.recheckPending()
-	c.updateTargets()
+	c.updateSets()
+	c.applyEarly()
 	c.updateHolders()
 }
 
@@ -162,13 +164,21 @@
 	}
 }
 
-// isTargetHost reports whether an entry of the platform's list is the host of a target and no
-// entry VM.
-func (c *Control) isTargetHost(vm core.ListedVM) bool {
-	found := false
+// targetHosts returns the names and addresses of the hosts of targets, which the platform's list may
+// contain besides entry VMs.
+func (c *Control) targetHosts() map[hostKey]bool {
+	hosts := make(map[hostKey]bool)
 	c.targets.all(func(_ core.TargetID, t *target) bool {
-		found = t.isOn(vm)
-		return !found
+		hosts[hostKey{zone: t.target.Zone, name: t.target.Name}] = true
+		hosts[hostKey{zone: t.target.Zone, addr: t.target.Addr}] = true
+		return true
 	})
-	return found
+	return hosts
+}
+
+// hostKey identifies a host of a zone by name or address.
+type hostKey struct {
+	zone core.ZoneName
+	name string
+	addr netip.AddrPort
 }
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -128,7 +128,7 @@
 	c.updatePulls()
 	c.updateMembers()
 	c.updateTargets()
-	c.updateHolders()
+	c.tickHolders()
 	c.updateStatus()
 	c.updateStop()
 	c.sendHeartbeats()
--- /dev/null
+++ b/core/control/decision_test.go
@@ -0,0 +1,215 @@
+package control_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/mangoweir/mangoweir/core"
+)
+
+// Guards against use of authority after a pause, during which another VM may have got it.
+func TestClockJump(t *testing.T) {
+	Convey("Given a VM with authority", t, func() {
+		w := newFleet(5, 3)
+		v := w.vms[0]
+		So(v.snapshot.AuthorityUntil, ShouldBeGreaterThan, w.now)
+		Convey("after a gap of more than a second it first publishes a snapshot without authority", func() {
+			out := v.control.Handle(core.Tick{}, w.now+1100*time.Millisecond, nil)
+			first, ok := firstSnapshot(out)
+			So(ok, ShouldBeTrue)
+			So(first.AuthorityUntil, ShouldBeLessThanOrEqualTo, w.now)
+		})
+		Convey("after a gap of less than a second it keeps authority", func() {
+			out := v.control.Handle(core.Tick{}, w.now+900*time.Millisecond, nil)
+			first, ok := firstSnapshot(out)
+			So(!ok || first.AuthorityUntil > w.now+900*time.Millisecond, ShouldBeTrue)
+		})
+	})
+}
+
+func firstSnapshot(out []core.Action) (*core.Snapshot, bool) {
+	for _, a := range out {
+		if p, ok := a.(core.PublishSnapshot); ok {
+			return p.Snapshot, true
+		}
+	}
+	return nil, false
+}
+
+// Guards against authority that ends in an outage of the platform, or that outlasts the reach of the
+// other members.
+func TestOutage(t *testing.T) {
+	Convey("Given 6 VMs and a platform that has been down for 20 s", t, func() {
+		w := newFleet(6, 6)
+		w.platform.down = true
+		w.advance(20 * time.Second)
+		Convey("all VMs keep authority while they hear each other", func() {
+			So(w.settled(), ShouldEqual, "")
+		})
+		Convey("a killed VM is replaced with authority, as its end is proven", func() {
+			w.vms[2].kill()
+			w.advance(3 * time.Second)
+			So(w.settled(), ShouldEqual, "")
+		})
+		Convey("a silent VM costs the others their authority", func() {
+			w.vms[2].paused = true
+			w.advance(3 * time.Second)
+			So(w.vms[0].snapshot.AuthorityUntil, ShouldBeLessThanOrEqualTo, w.now)
+		})
+		Convey("reads are few and return with jitter", func() {
+			w.platform.calls = 0
+			w.advance(20 * time.Second)
+			So(w.platform.calls, ShouldBeLessThan, 6*40)
+			w.platform.down = false
+			w.platform.calls = 0
+			w.advance(time.Second)
+			So(w.platform.calls, ShouldBeLessThan, 6*5)
+			w.advance(5 * time.Second)
+			So(w.settled(), ShouldEqual, "")
+		})
+		Convey("all VMs can be replaced one after the other", func() {
+			for _, v := range w.vms {
+				v.handle(core.Stop{})
+				v.report(core.ShardDrained{})
+				w.advance(5 * time.Second)
+				So(v.drained, ShouldBeTrue)
+				So(v.holds, ShouldBeEmpty)
+				v.kill()
+				v.start()
+				w.advance(5 * time.Second)
+			}
+			// A VM that starts during an outage waits ConfirmTTL for holders that it can't know of.
+			w.advance(core.ConfirmTTL)
+			So(w.settled(), ShouldEqual, "")
+		})
+	})
+}
+
+// Guards against targets of a zone taken out that stay with its VMs or still accept flows, and
+// against a zone that does not get its targets back.
+func TestZoneOut(t *testing.T) {
+	Convey("Given 6 VMs whose first zone is taken out", t, func() {
+		w := newFleet(7, 6)
+		next := copyConfig(w.configs[1])
+		next.Zones[0].State = core.ZoneOut
+		w.accept(next)
+		w.advance(5 * time.Second)
+		So(w.settled(), ShouldEqual, "")
+		for _, target := range targetsOf(next) {
+			view := w.vms[5].snapshot.Targets[target.ID]
+			holder := w.vm(view.Holder)
+			So(holder.zone, ShouldNotEqual, zones[0])
+			So(view.ZoneOut, ShouldEqual, target.Zone == zones[0])
+			So(slices.Contains(w.current(target), target.ID), ShouldEqual, target.Zone != zones[0])
+		}
+		Convey("its targets go back when it returns", func() {
+			back := copyConfig(next)
+			back.Zones[0].State = core.ZoneIn
+			w.accept(back)
+			w.advance(6 * time.Second)
+			So(w.settled(), ShouldEqual, "")
+			for _, target := range targetsOf(back) {
+				So(w.vm(w.holders(target.ID)[0]).zone, ShouldEqual, target.Zone)
+			}
+		})
+	})
+}
+
+// current returns the ids of the targets of a target's service that accept flows.
+func (w *world) current(t core.Target) []core.TargetID {
+	return w.vms[5].snapshot.Services[t.Service].Current.IDs
+}
+
+// Guards against flows of removed targets that are cut off, against histories that grow without
+// change, and against packets to an address that has just moved to another service.
+func TestTargetSets(t *testing.T) {
+	Convey("Given a fleet with 18 targets", t, func() {
+		w := newFleet(8, 3)
+		v := w.vms[0]
+		service := w.configs[1].Services[0].ID
+		gone := w.configs[1].Services[0].Targets[0]
+		So(v.snapshot.Services[service].Former, ShouldBeEmpty)
+		Convey("a change that leaves the accepting targets alone adds no former set", func() {
+			next := copyConfig(w.configs[1])
+			next.Services[0].Contract.QueueLimit = 7
+			w.accept(next)
+			w.advance(2 * time.Second)
+			So(v.snapshot.Services[service].Former, ShouldBeEmpty)
+		})
+		Convey("a removed target leaves the current set and is kept for its drain time", func() {
+			next := copyConfig(w.configs[1])
+			next.Services[0].Targets = next.Services[0].Targets[1:]
+			moved := next.Services[1].Targets[0]
+			moved.Addr, moved.ID = gone.Addr, moved.ID+1
+			next.Services[1].Targets = append(next.Services[1].Targets, moved)
+			w.accept(next)
+			w.advance(2 * time.Second)
+			views := v.snapshot.Services
+			So(views[service].Current.IDs, ShouldNotContain, gone.ID)
+			So(views[service].Former, ShouldHaveLength, 1)
+			So(views[service].Former[0].Set.IDs, ShouldContain, gone.ID)
+			So(v.snapshot.Targets[gone.ID].Removed, ShouldBeTrue)
+			So(views[moved.Service].Current.IDs, ShouldNotContain, moved.ID)
+			w.advance(core.AddressQuarantine)
+			So(v.snapshot.Services[moved.Service].Current.IDs, ShouldContain, moved.ID)
+			w.advance(50 * time.Second)
+			So(v.snapshot.Targets[gone.ID], ShouldNotBeNil)
+			w.advance(10 * time.Second)
+			So(v.snapshot.Targets[gone.ID], ShouldBeNil)
+			w.advance(core.FlowIdle)
+			So(v.snapshot.Services[service].Former, ShouldBeEmpty)
+		})
+		Convey("a target that its holder reports as leaving takes no new flows anywhere", func() {
+			holder := w.vm(w.holders(gone.ID)[0])
+			holder.report(core.LoadChanged{Target: gone.ID, Load: core.TargetLoad{Leaving: true}})
+			w.advance(time.Second)
+			for _, o := range w.vms {
+				So(o.snapshot.Services[service].Current.IDs, ShouldNotContain, gone.ID)
+			}
+		})
+	})
+}
+
+// Guards against a takeover that waits although the former holder's end is proven, one that does not
+// wait although it is not, and a backup that is trusted without having all records.
+func TestTakeOver(t *testing.T) {
+	Convey("Given a zone with three VMs", t, func() {
+		w := newWorld(9)
+		w.accept(testConfig(1))
+		for _, name := range []core.VMName{"a", "b", "c"} {
+			w.addVM(name, zones[0]).start()
+		}
+		w.advance(3 * time.Second)
+		id := targetsOf(w.configs[1])[0].ID
+		holder := w.vm(w.holders(id)[0])
+		backup := w.vm(holder.snapshot.Targets[id].Backup)
+		Convey("a killed holder is replaced by its backup at once", func() {
+			w.advance(20 * time.Second)
+			holder.kill()
+			w.advance(200 * time.Millisecond)
+			So(w.holders(id), ShouldResemble, []core.VMName{backup.name})
+			So(backup.taken.FormerUntil, ShouldEqual, 0)
+			So(backup.taken.BackupInSync, ShouldBeTrue)
+			So(backup.taken.FormerDiedBy, ShouldBeLessThanOrEqualTo, w.now)
+		})
+		Convey("a backup that has not been one for long is not in sync", func() {
+			holder.kill()
+			w.advance(200 * time.Millisecond)
+			So(w.holders(id), ShouldResemble, []core.VMName{backup.name})
+			So(backup.taken.BackupInSync, ShouldBeFalse)
+		})
+		Convey("a frozen holder is replaced after suspicion, with authority after ConfirmTTL", func() {
+			w.advance(20 * time.Second)
+			holder.paused = true
+			w.advance(4 * time.Second)
+			So(backup.holds[id], ShouldNotBeNil)
+			So(backup.taken.BackupInSync, ShouldBeFalse)
+			So(backup.hasAuthority(id), ShouldBeFalse)
+			w.advance(6 * time.Second)
+			So(backup.hasAuthority(id), ShouldBeTrue)
+		})
+	})
+}
--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -125,6 +125,15 @@
 // gone reports whether the elector's process is known to have ended.
 func (e elector) gone() bool { return e.peer != nil && e.peer.gone(e.incarnation) }
 
+// tickHolders calls updateHolders when something changed or time may have.
+func (c *Control) tickHolders() {
+	if c.view.refreshed == c.view.structure && c.now < c.view.holdersAt {
+		return
+	}
+	c.view.holdersAt = c.now + targetsInterval
+	c.updateHolders()
+}
+
 // updateHolders decides for all targets who should hold them and acts on it.
 func (c *Control) updateHolders() {
 	if c.config.current == nil {
--- a/core/control/peer.go
+++ b/core/control/peer.go
@@ -13,6 +13,10 @@
 // for a restarted VM to come back under the same name without a new dial.
 const forgetAfter = 60 * time.Second
 
+// peersInterval is the time between two looks at the silence of peers. It is small against
+// SuspectAfter and keeps the cost of many peers low.
+const peersInterval = 100 * time.Millisecond
+
 // maxPeers bounds the peers that heartbeats of unknown senders can create.
 const maxPeers = 20000
 
@@ -177,6 +181,10 @@
 
 // updatePeers updates suspicion and forgets VMs that nobody names any more.
 func (c *Control) updatePeers() {
+	if c.now < c.view.peersAt {
+		return
+	}
+	c.view.peersAt = c.now + peersInterval
 	var forgotten []*peer
 	c.peers.all(func(_ core.VMName, p *peer) bool {
 		silent := c.now - p.lastHeard
@@ -217,8 +225,9 @@
 	vms := slices.Clone(in.VMs)
 	slices.SortFunc(vms, func(a, b core.ListedVM) int { return compare(a.Name, b.Name) })
 	c.setLeavingHosts(vms)
+	hosts := c.targetHosts()
 	for _, vm := range vms {
-		if c.isTargetHost(vm) {
+		if hosts[hostKey{zone: vm.Zone, name: string(vm.Name)}] || hosts[hostKey{zone: vm.Zone, addr: vm.Addr}] {
 			continue
 		}
 		if p := c.meet(vm.Name, vm.Zone, vm.Addr); p != nil {
--- a/core/control/platform.go
+++ b/core/control/platform.go
@@ -174,9 +174,30 @@
 	saltHolder uint64 = 0x686f6c64
 )
 
+// rankKey names a rendezvous order of a zone's VMs.
+type rankKey struct {
+	zone core.ZoneName
+	salt uint64
+}
+
 // rankInZone returns the place of this VM among the live VMs of a zone, or among those of all zones
 // when it is in another one.
 func (c *Control) rankInZone(zone core.ZoneName, salt uint64) int {
+	if c.view.ranksFor != c.view.structure || c.view.ranks == nil {
+		c.view.ranks = make(map[rankKey]int)
+		c.view.ranksFor = c.view.structure
+	}
+	k := rankKey{zone, salt}
+	rank, ok := c.view.ranks[k]
+	if !ok {
+		rank = c.computeRank(zone, salt)
+		c.view.ranks[k] = rank
+	}
+	return rank
+}
+
+// computeRank works out a rank for rankInZone.
+func (c *Control) computeRank(zone core.ZoneName, salt uint64) int {
 	key := rendezvous.Mix(salt, rendezvous.HashString(string(zone)))
 	self := rendezvous.Mix(key, rendezvous.HashString(string(c.opts.Self)))
 	rank := 0
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -29,6 +29,11 @@
 	dirty, loadDirty     bool
 	builtAt              time.Duration
 	last                 *core.Snapshot
+	// peersAt, targetsAt and holdersAt are the times of the next looks at what time alone changes.
+	peersAt, targetsAt, holdersAt time.Duration
+	// ranks holds ranks computed for the structure version ranksFor.
+	ranks    map[rankKey]int
+	ranksFor uint64
 	// foreignTime is true once foreignAfter has passed.
 	foreignTime bool
 }
--- a/core/control/target.go
+++ b/core/control/target.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -11,6 +12,10 @@
 // defaultDrain applies to removed targets whose service names no drain time.
 const defaultDrain = 60 * time.Second
 
+// targetsInterval is the time between two looks at what time alone changes about targets. It keeps
+// the cost of many targets low.
+const targetsInterval = 200 * time.Millisecond
+
 // target is what control knows about a target.
 type target struct {
 	id     core.TargetID
@@ -45,11 +50,12 @@
 // installTargets brings the targets in line with a new configuration.
 func (c *Control) installTargets(previous, cfg *core.Config) {
 	present := make(map[core.TargetID]bool)
+	served := c.servedServices()
 	for i := range cfg.Services {
 		s := &cfg.Services[i]
 		for j := range s.Targets {
 			present[s.Targets[j].ID] = true
-			c.installTarget(previous, cfg.Generation, s, &s.Targets[j])
+			c.installTarget(previous, served, s, &s.Targets[j])
 		}
 	}
 	c.targets.all(func(id core.TargetID, t *target) bool {
@@ -61,10 +67,22 @@
 	})
 }
 
+// applyEarly takes over the reports about targets that were not known before.
+func (c *Control) applyEarly() {
+	for _, id := range c.targets.keys {
+		r, ok := c.config.early[id]
+		if !ok {
+			continue
+		}
+		delete(c.config.early, id)
+		c.onHolderChanged(r)
+	}
+}
+
 // installTarget adds or updates one target.
-func (c *Control) installTarget(previous *core.Config, g core.Generation, s *core.Service, in *core.Target) {
+func (c *Control) installTarget(previous *core.Config, served addressUse, s *core.Service, in *core.Target) {
 	quarantine := in.ActiveAfter
-	if c.servedOther(in) {
+	if served.byOther(in) {
 		quarantine = max(quarantine, core.AddressQuarantine)
 	}
 	t := c.targets.get(in.ID)
@@ -75,13 +93,9 @@
 		}
 		t.holding.unheldSince = c.now
 		if previous != nil {
-			t.since = g
+			t.since = c.generation()
 		}
 		c.targets.put(in.ID, t)
-		if r, ok := c.config.early[in.ID]; ok {
-			delete(c.config.early, in.ID)
-			c.onHolderChanged(r)
-		}
 	} else if t.target.Addr != in.Addr && quarantine > 0 {
 		t.notBefore = c.now + quarantine
 	}
@@ -93,19 +107,30 @@
 	}
 }
 
-// servedOther reports whether the target's address belonged to another service before. It looks at
-// the targets as they were before the new configuration.
-func (c *Control) servedOther(in *core.Target) bool {
-	found := false
+// addressUse says which services the addresses of known targets belong to.
+type addressUse map[netip.AddrPort][]core.ServiceID
+
+// servedServices returns the use of addresses before a new configuration is installed.
+func (c *Control) servedServices() addressUse {
+	use := make(addressUse)
 	c.targets.all(func(_ core.TargetID, t *target) bool {
-		found = t.target.Addr == in.Addr && t.target.Service != in.Service
-		return !found
+		use[t.target.Addr] = append(use[t.target.Addr], t.target.Service)
+		return true
 	})
-	return found
+	return use
+}
+
+// byOther reports whether the target's address belonged to another service before.
+func (u addressUse) byOther(in *core.Target) bool {
+	return slices.ContainsFunc(u[in.Addr], func(s core.ServiceID) bool { return s != in.Service })
 }
 
 // updateTargets drops removed targets that have drained and recomputes the target sets.
 func (c *Control) updateTargets() {
+	if c.now < c.view.targetsAt {
+		return
+	}
+	c.view.targetsAt = c.now + targetsInterval
 	var ended []core.TargetID
 	c.targets.all(func(id core.TargetID, t *target) bool {
 		if t.removed && c.now >= t.removedAt+t.drain+core.RequestLifetime {
--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -56,6 +56,8 @@
 	holds    map[core.TargetID]*held
 	highest  core.Generation
 	drained  bool
+	// taken is the newest takeover.
+	taken core.TakeOver
 	// sent and received count messages and bytes of control traffic.
 	sentMessages, sentBytes, receivedBytes int
 	actions                                map[string]int
@@ -318,6 +320,7 @@
 func (v *vm) shard(in core.Input) {
 	switch in := in.(type) {
 	case core.TakeOver:
+		v.taken = in
 		v.holds[in.Target] = &held{number: in.Number, formerUntil: in.FormerUntil}
 		v.report(core.HolderChanged{Target: in.Target, Holder: v.name, Number: in.Number})
 	case core.Release:
