--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -21,6 +21,9 @@
 	// unheldGrace is the time for which nobody may announce a target before it is taken over from
 	// a live VM; a handover takes at most a second and is announced with the next heartbeat.
 	unheldGrace = 1500 * time.Millisecond
+	// unwatchedGrace is the same when members exist whose announcements this VM does not get. They
+	// hand the target over as soon as they see that this VM is desired.
+	unwatchedGrace = 5 * time.Second
 	// dropGrace is the time for which a handover's sender leaves it to the shard to notice that
 	// the receiver holds the target.
 	dropGrace = 1500 * time.Millisecond
@@ -124,6 +127,15 @@
 // gone reports whether the elector's process is known to have ended.
 func (e elector) gone() bool { return e.peer != nil && e.peer.gone(e.incarnation) }
 
+// tickHolders calls updateHolders when something changed or time may have.
+func (c *Control) tickHolders() {
+	if c.view.refreshed == c.view.structure && c.now < c.view.holdersAt {
+		return
+	}
+	c.view.holdersAt = c.now + targetsInterval
+	c.updateHolders()
+}
+
 // updateHolders decides for all targets who should hold them and acts on it.
 func (c *Control) updateHolders() {
 	if c.config.current == nil {
@@ -264,7 +276,7 @@
 	}
 	none := true
 	c.peers.all(func(_ core.VMName, p *peer) bool {
-		none = p.zone != name || !p.live()
+		none = p.zone != name || !c.alive(p)
 		return none
 	})
 	return none
@@ -276,7 +288,7 @@
 	if e.name == c.opts.Self {
 		return !c.stop.leaving
 	}
-	return e.peer != nil && e.peer.available()
+	return e.peer != nil && c.available(e.peer)
 }
 
 // desired returns the VM that should hold a target. VMs that are no members yet are desired only
@@ -556,7 +568,7 @@
 	case p == nil || p.dead:
 		c.endRelease(h)
 	case c.now-r.at < releaseTimeout:
-	case p.available():
+	case c.available(p):
 		c.tellRelease(t)
 	case p.suspect && c.replaceable(p):
 		c.endRelease(h)
@@ -577,10 +589,10 @@
 func (c *Control) releaseDue(t *target) bool {
 	h := &t.holding
 	p := c.peers.get(h.desired)
-	if p == nil || !p.available() || h.take != nil || c.now < h.retryAfter {
+	if p == nil || !c.available(p) || h.take != nil || c.now < h.retryAfter {
 		return false
 	}
-	if p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch {
+	if p.watched && (p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch) {
 		return false
 	}
 	// A target that has just arrived is not handed back before the sender's heartbeats can say that
