Let a repeated takeover replace the wait for a former holder

Cause: control announces a takeover with unknown times and corrects them by a second TakeOver; traffic ignored the second, so that a target could refuse for good (3864 no_authority refusals after a pause of 4 s). Ruled out: missing authority (the VM had gained it 1 s after the pause). Change: traffic replaces the times, but keeps a quarantine that was handed over.

--- a/core/input.go
+++ b/core/input.go
@@ -197,7 +197,8 @@
 	// First is true when no VM can have held the target before.
 	First bool
 	// FormerUntil is the time until which a former holder may still act; 0 when it is known dead
-	// or there was none, FormerUnknown while it can't be told. Admission to the target and non-idempotent work wait until then.
+	// or there was none, FormerUnknown while it can't be told. Admission to the target and
+	// non-idempotent work wait until then.
 	FormerUntil time.Duration
 	// FormerDiedBy is the latest time at which the former holder was alive, for the quarantine of
 	// non-idempotent requests.
--- a/core/traffic/admission_test.go
+++ b/core/traffic/admission_test.go
@@ -95,6 +95,11 @@
 		})
 		Convey("a pause of the process ends authority until the next snapshot", func() {
 			f.now += core.ClockJump + time.Second
+			// Requests may have waited during the pause for longer than records of their copies live.
+			f.request("a", posting(1, 1))
+			So(f.requests(), ShouldBeEmpty)
+			So(f.refusals, ShouldBeEmpty)
+			f.now += discardAfterPause
 			f.request("a", posting(1, 1))
 			So(f.requests(), ShouldBeEmpty)
 			So(f.refusals[0].Reason, ShouldEqual, core.ReasonNoAuthority)
@@ -107,6 +112,7 @@
 			old := f.snapshot("a")
 			f.now += core.ClockJump + time.Second
 			f.in("a", core.SnapshotPublished{Snapshot: old})
+			f.now += discardAfterPause
 			f.request("a", posting(1, 1))
 			So(f.requests(), ShouldBeEmpty)
 		})
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -401,7 +401,8 @@
 	o.ramp.cold = b.Cold
 	o.ramp.stepAt = s.now - b.Warm
 	o.ramp.boot = b.Boot
-	o.quarantineUntil = s.now + b.QuarantineLeft
+	o.inheritedUntil = s.now + b.QuarantineLeft
+	o.quarantineUntil = o.inheritedUntil
 	o.formerUntil = s.now + b.HoldLeft
 	o.formerCold = b.Cold
 	o.rebuildUntil = s.now + b.RebuildLeft
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -51,6 +51,10 @@
 	formerCold bool
 	// quarantineUntil is the time until which a request may arrive that a former holder started.
 	quarantineUntil time.Duration
+	// inheritedUntil is the part of quarantineUntil that came with a handover.
+	inheritedUntil time.Duration
+	// wasBackup is true when this shard kept copies of the former holder's records.
+	wasBackup bool
 	// rebuildUntil is the time until which flows may appear that the lost former holder had.
 	rebuildUntil time.Duration
 
@@ -146,19 +150,16 @@
 func (s *Shard) onTakeOver(t core.TakeOver) {
 	if old := s.owners[t.Target]; old != nil {
 		old.number = max(old.number, t.Number)
+		s.waitForFormer(old, t)
 		s.emit(core.HolderChanged{Target: old.id, Holder: s.opts.Self, Number: old.number})
+		s.pump(old)
 		return
 	}
 	o := s.newOwner(t.Target, t.Number)
-	o.formerUntil = t.FormerUntil
+	o.wasBackup = s.wasBackup(t.Target)
 	o.formerCold = o.view == nil || o.view.Load.Limit == 0 || o.view.Load.Cold
+	s.waitForFormer(o, t)
 	if !t.First {
-		last := max(t.FormerUntil, t.FormerDiedBy)
-		o.quarantineUntil = last + core.RequestLifetime
-		if t.BackupInSync && s.wasBackup(t.Target) {
-			// Refusals of the former holder are not in the backup's copy.
-			o.quarantineUntil = last + refusalMemory
-		}
 		o.rebuildUntil = s.now + core.FlowIdle
 		s.adoptBackup(o)
 		s.emit(core.Event{Kind: core.EventTakeOver, VM: s.opts.Self, Target: t.Target, Value: uint64(t.Number)})
@@ -168,6 +169,23 @@
 	s.retryParked()
 }
 
+// waitForFormer takes over the times until which a former holder may act and its requests may
+// arrive. They replace those of an earlier takeover, but not a quarantine that was handed over.
+func (s *Shard) waitForFormer(o *owner, t core.TakeOver) {
+	o.formerUntil = t.FormerUntil
+	o.quarantineUntil = o.inheritedUntil
+	if t.First {
+		return
+	}
+	last := max(t.FormerUntil, t.FormerDiedBy)
+	wait := core.RequestLifetime
+	if t.BackupInSync && o.wasBackup {
+		// Refusals of the former holder are not in the backup's copy.
+		wait = refusalMemory
+	}
+	o.quarantineUntil = max(o.quarantineUntil, last+wait)
+}
+
 // onDrop ends the holding because another VM has a higher number.
 func (s *Shard) onDrop(d core.Drop) {
 	o := s.owners[d.Target]
--- a/internal/coretest/caller.go
+++ b/internal/coretest/caller.go
@@ -240,6 +240,11 @@
 // noteTarget checks that the flow stays on its target.
 func (c *Caller) noteTarget(target core.TargetID) {
 	old := c.Target
+	if old != 0 && old != target && c.w.mayLeave(target) {
+		// A late message of a target that flows have to leave: its feed is relayed until the new
+		// target's registration has replaced it.
+		return
+	}
 	c.Target = target
 	if old == 0 || old == target || c.w.mayLeave(old) {
 		return
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -252,7 +252,6 @@
 		InFlight:       d.uint16("in flight", p.GetInFlight()),
 		QuarantineLeft: d.millis("quarantine", p.GetQuarantineLeftMs()),
 		HoldLeft:       d.millis("hold", p.GetHoldLeftMs()),
-		IdempotentLeft: d.millis("idempotent", p.GetIdempotentLeftMs()),
 		RebuildLeft:    d.millis("rebuild", p.GetRebuildLeftMs()),
 	}
 	d.list("former sets", len(p.GetFormer()), core.MaxFormerSets)
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -177,7 +177,6 @@
 		InFlight:         uint32(m.InFlight),
 		QuarantineLeftMs: ceilMillis(m.QuarantineLeft),
 		HoldLeftMs:       ceilMillis(m.HoldLeft),
-		IdempotentLeftMs: ceilMillis(m.IdempotentLeft),
 		RebuildLeftMs:    ceilMillis(m.RebuildLeft),
 	}
 	for _, f := range m.Former {
