Ask the former holder about postings of a flow that moved back

Change: a flow that comes back keeps its origin for RequestLifetime and each of its postings visits the origin's holder first; a flow that was moved away is not taken back because its new holder asks.

--- a/core/traffic/doubt.go
+++ b/core/traffic/doubt.go
@@ -53,8 +53,18 @@
 // settle asks what is still open about a flow before one of its non-idempotent requests runs. It
 // reports false when the request went elsewhere or waits for an answer.
 func (s *Shard) settle(o *owner, f *core.ForwardRequest) bool {
+	if f.Request.Idempotent || f.Request.Method == core.MethodCancel {
+		return true
+	}
+	if from := o.origins.get(f.Request.Flow, s.now); from != 0 && !f.Unreached {
+		// Each request is asked for: its ingress VM does not know where the flow was.
+		if !slices.Contains(f.Asked, from) && s.askCandidates(o, f, &doubt{ask: []core.TargetID{from}}) {
+			return false
+		}
+		f.Unreached = !f.Cleared || !slices.Contains(f.Asked, from)
+	}
 	d := o.doubts[f.Request.Flow]
-	if d == nil || f.Request.Idempotent || f.Request.Method == core.MethodCancel {
+	if d == nil {
 		return true
 	}
 	if d.peers && !f.Queried {
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -24,6 +24,8 @@
 
 	// doubts holds flows that were placed although another VM may know them elsewhere.
 	doubts map[core.FlowKey]*doubt
+	// origins holds flows that came back from other targets, whose holders may have records of them.
+	origins originTable
 	// guessed holds flows that were placed although peers had not answered in time.
 	guessed untilTable[core.FlowKey]
 	// passed holds flows that went on to other candidates while lost flows may appear here.
@@ -83,6 +85,7 @@
 		reportedAt: -loadInterval,
 	}
 	o.doubts = map[core.FlowKey]*doubt{}
+	o.origins.init()
 	o.guessed.init()
 	o.passed.init()
 	o.moved.init()
@@ -230,6 +233,7 @@
 	s.tickRequests(o)
 	s.tickHandover(o)
 	o.records.expire(s, s.now)
+	o.origins.expire(s.now)
 	o.guessed.expire(s.now)
 	o.passed.expire(s.now)
 	o.moved.expire(s.now)
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -81,8 +81,10 @@
 		return
 	}
 	e.touch(s.now)
-	if f.Known && e.target != o.id && slices.Contains(f.Asked, e.target) {
-		// The flow comes back from the target that it was once placed on.
+	if f.Known && e.target != o.id && slices.Contains(f.Asked, e.target) && !o.moved.has(r.Flow, s.now) {
+		// The flow comes back from the target that it was once placed on. A flow that was moved away
+		// does not: its new holder only asks for records, through other candidates.
+		o.origins.put(r.Flow, e.target, s.now+core.RequestLifetime)
 		o.setFlow(r.Flow, o.id, s.now)
 	}
 	if e.target != o.id {
