Count own recent placements, drop removed targets whose address is reused

Change 1: a shard adds the flows that it placed in the last second. Cause 2: flows of a removed target went on during its drain time although another service's target had its address (24 packets at another service). Change 2: such a target gets no packets at once.

--- a/core/traffic/feed.go
+++ b/core/traffic/feed.go
@@ -302,6 +302,7 @@
 	s.retire(fd)
 	o.setFlow(flow, target, s.now)
 	o.moved.put(flow, s.now+core.RequestLifetime)
+	s.recent.add(target, s.now)
 	s.event(core.EventFlowRedirected, target)
 	s.redirect(o, target, s.renewalFor(fd.req, o.id))
 	return true
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -13,6 +13,8 @@
 	number   core.HoldingNumber
 	contract core.Contract
 	view     *core.TargetView
+	// addressReused is true when the target was removed and another one has its address.
+	addressReused bool
 
 	flows flowTable
 	// redirects is the number of flows in the table that are placed on other targets.
@@ -95,6 +97,20 @@
 	return o
 }
 
+// addressReused reports whether another target of the configuration has a removed target's address.
+// The process there is not the removed target, so that its flows cannot go on.
+func (s *Shard) addressReused(v *core.TargetView) bool {
+	if !v.Removed {
+		return false
+	}
+	for _, t := range s.snap.Targets {
+		if t.Target.ID != v.Target.ID && !t.Removed && t.Target.Addr == v.Target.Addr {
+			return true
+		}
+	}
+	return false
+}
+
 // applyView takes over what a new snapshot says about the target.
 func (s *Shard) applyView(o *owner) {
 	out := o.view != nil && o.evicted(s.now)
@@ -102,6 +118,7 @@
 	if o.view == nil {
 		return
 	}
+	o.addressReused = s.addressReused(o.view)
 	if out && !o.evicted(s.now) {
 		// A target that returns to service is cold.
 		o.ramp.setCold(s.now)
@@ -215,7 +232,7 @@
 // evicted reports whether the target gets no packets any more, not even of its flows.
 func (o *owner) evicted(now time.Duration) bool {
 	v := o.view
-	return v == nil || v.ZoneOut || v.Removed && now >= v.RemovedAt+o.drainTime()
+	return v == nil || v.ZoneOut || v.Removed && (o.addressReused || now >= v.RemovedAt+o.drainTime())
 }
 
 func (o *owner) drainTime() time.Duration {
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -112,6 +112,7 @@
 		s.noteDoubt(o, f)
 		s.event(core.EventFlowPlaced, target)
 	} else {
+		s.recent.add(target, s.now)
 		s.event(core.EventFlowRedirected, target)
 	}
 	return o.flows.get(&flow)
@@ -164,6 +165,7 @@
 	}
 	o.setFlow(flow, target, s.now)
 	o.moved.put(flow, s.now+core.RequestLifetime)
+	s.recent.add(target, s.now)
 	s.event(core.EventFlowRedirected, target)
 	s.redirect(o, target, f)
 }
@@ -224,7 +226,7 @@
 	if v == nil || !v.Accepts(s.now) {
 		return share{id: id}
 	}
-	flows, limit := int(v.Load.Flows), int(v.Load.Limit)
+	flows, limit := int(v.Load.Flows)+s.recent.count(id, s.now), int(v.Load.Limit)
 	if o := s.owners[id]; o != nil {
 		if o.ramp.draining() {
 			return share{id: id}
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -62,6 +62,7 @@
 	watches   watches
 	incoming  map[core.TargetID]*handoverIn
 	queries   queries
+	recent    recentPlacements
 	// answerBytes is the size of the stored answers of all records.
 	answerBytes int
 }
@@ -85,6 +86,7 @@
 		watches:   newWatches(),
 		incoming:  map[core.TargetID]*handoverIn{},
 		queries:   newQueries(),
+		recent:    newRecentPlacements(),
 	}
 }
 
--- a/internal/coretest/stats.go
+++ b/internal/coretest/stats.go
@@ -88,12 +88,13 @@
 	return time.Duration(s.latency[c].ValueAtQuantile(percent)) * time.Microsecond
 }
 
-// Goodput returns the share of offered requests of a class that were answered.
+// Goodput returns the share of a class's requests that were answered, of those that have ended.
 func (s *Stats) Goodput(c core.Class) float64 {
-	if s.Offered[c] == 0 {
+	ended := s.Done[c] + s.Unknown[c] + s.GaveUp[c] + s.TimedOut[c]
+	if ended == 0 {
 		return 1
 	}
-	return float64(s.Done[c]) / float64(s.Offered[c])
+	return float64(s.Done[c]) / float64(ended)
 }
 
 // Summary returns the refusals by reason and the events by kind, for test logs.
