Move all requests of a flow to the same target

Cause: when a zone was taken out, each waiting request of a flow chose a target anew, so that one flow ended on two targets (116 moves at 110% demand), and a posting of a moved flow that arrived by a note was refused as unknown. Change: a flow that was moved keeps its new target; the new holder remembers the origin of every moved flow and asks there.

--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -158,6 +158,11 @@
 	if f.Request.Method == core.MethodCancel {
 		return
 	}
+	if e := o.flows.get(&flow); e != nil && e.target != o.id {
+		// An earlier request moved the flow; choosing again would split it.
+		s.redirect(o, e.target, f)
+		return
+	}
 	target := s.choose(o, flow, f.Asked)
 	if target == 0 || target == o.id {
 		s.refuseRequest(o, s.newRequest(o, f), core.ReasonNoTarget)
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -96,6 +96,9 @@
 	}
 	if f.Moved {
 		o.unsure.put(r.Flow, s.now+core.RequestLifetime)
+		if n := len(f.Asked); n > 0 && o.origins.get(r.Flow, s.now) == 0 {
+			o.origins.put(r.Flow, f.Asked[n-1], s.now+core.RequestLifetime)
+		}
 	}
 	if !s.settle(o, f) {
 		return
