Keep the state of a held target when a cut-off VM hands it over

Cause: a VM that was cut off had taken over a target; when it came back it handed its older state to the rightful holder, which lost the redirects made meanwhile (TestZoneOutWithVMCutOff: 6 moves of 2 flows). Change: the receiver's own flows, records and waits come first.

--- a/core/traffic/fifo.go
+++ b/core/traffic/fifo.go
@@ -10,6 +10,9 @@
 
 func (f *fifo[T]) len() int { return len(f.items) - f.head }
 
+// all returns the items, oldest first; they are valid until the next push or pop.
+func (f *fifo[T]) all() []T { return f.items[f.head:] }
+
 func (f *fifo[T]) push(v T) { f.items = append(f.items, v) }
 
 func (f *fifo[T]) first() *T { return &f.items[f.head] }
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -409,6 +409,9 @@
 	for _, c := range in.chunks {
 		s.receiveChunk(o, c)
 	}
+	if held := s.owners[o.id]; held != nil {
+		s.keepState(o, held)
+	}
 	delete(s.backups, o.id)
 	s.install(o)
 	s.event(core.EventHandoverDone, o.id)
@@ -416,6 +419,26 @@
 	s.pump(o)
 }
 
+// keepState keeps what this shard knows about a target that it holds already, when another VM hands
+// the target over that held it as well, cut off from this one. The sender's view of flows that this
+// shard served meanwhile is older.
+func (s *Shard) keepState(o, held *owner) {
+	held.flows.all(func(e *flowEntry) { o.setFlow(e.key, e.target, s.now-e.idle(s.now)) })
+	for _, k := range held.records.order.all() {
+		if rec := held.records.get(k); rec != nil {
+			s.setRecord(o, k, *rec)
+		}
+	}
+	for _, k := range held.moved.order.all() {
+		o.moved.put(k, held.moved.m[k])
+	}
+	for _, k := range held.unsure.order.all() {
+		o.unsure.put(k, held.unsure.m[k])
+	}
+	o.quarantineUntil = max(o.quarantineUntil, held.quarantineUntil)
+	o.inheritedUntil = max(o.inheritedUntil, held.inheritedUntil)
+}
+
 func (s *Shard) receiveChunk(o *owner, c *core.HandoverChunk) {
 	for i := range c.Flows {
 		s.receiveFlow(o, &c.Flows[i])
