Follow up late replies about flows

A peer's reply that came after the wait of 50 ms was lost when the flow had been passed on, and a reply from a stale note was taken as proof. Late replies now go to the holders of the flow's other candidates, and flows that were found by a note are doubtful until their candidates were asked.

--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -28,6 +28,8 @@
 	guessed untilTable[core.FlowKey]
 	// passed holds flows that went on to other candidates while lost flows may appear here.
 	passed untilTable[core.FlowKey]
+	// relayed holds flows about which a late reply was passed on.
+	relayed untilTable[core.FlowKey]
 
 	ramp     ramp
 	inFlight int
@@ -78,6 +80,7 @@
 	o.doubts = map[core.FlowKey]*doubt{}
 	o.guessed.init()
 	o.passed.init()
+	o.relayed.init()
 	o.moved.init()
 	o.unsure.init()
 	s.applyView(o)
@@ -210,6 +213,7 @@
 	o.records.expire(s, s.now)
 	o.guessed.expire(s.now)
 	o.passed.expire(s.now)
+	o.relayed.expire(s.now)
 	o.moved.expire(s.now)
 	o.unsure.expire(s.now)
 	s.expireRemote(o)
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -26,6 +26,9 @@
 		if !f.Cleared {
 			s.doubtOthers(o, f)
 		}
+		if f.Queried {
+			o.guessed.put(flow, s.now+core.RequestLifetime)
+		}
 		return o.flows.get(&flow)
 	}
 	if f.Known {
--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -113,15 +113,7 @@
 		return
 	}
 	for _, o := range s.ordered {
-		e := o.flows.get(&m.Flow)
-		switch {
-		case e == nil:
-		case e.target != o.id && e.target == m.Target:
-			e.touch(s.now)
-		case e.target == o.id && m.Target != o.id && o.guessed.has(m.Flow, s.now) && s.now < o.quarantineUntil:
-			// The answer comes late; no non-idempotent request has run here.
-			o.setFlow(m.Flow, m.Target, s.now)
-		}
+		s.noteReply(o, m)
 	}
 	waiting := s.queries.waiting
 	s.queries.waiting = nil
@@ -134,6 +126,40 @@
 	}
 }
 
+// noteReply compares a reply with what an owner knows about the flow.
+func (s *Shard) noteReply(o *owner, m *core.FlowReply) {
+	if m.Target == o.id {
+		return
+	}
+	e := o.flows.get(&m.Flow)
+	switch {
+	case e == nil:
+		s.relayLate(o, m)
+	case e.target == m.Target:
+		e.touch(s.now)
+	case e.target == o.id && o.guessed.has(m.Flow, s.now):
+		// The answer comes late.
+		o.doubts[m.Flow] = &doubt{ask: []core.TargetID{m.Target}}
+	}
+}
+
+// relayLate tells the holders of a flow's other candidates about a reply that came after the flow
+// was passed on to them.
+func (s *Shard) relayLate(o *owner, m *core.FlowReply) {
+	if !o.passed.has(m.Flow, s.now) || o.relayed.has(m.Flow, s.now) {
+		return
+	}
+	o.relayed.put(m.Flow, s.now+core.RequestLifetime)
+	var told []core.VMName
+	for _, id := range s.candidates(m.Flow) {
+		holder := s.holderOf(id)
+		if id != o.id && holder != "" && !slices.Contains(told, holder) {
+			told = append(told, holder)
+			s.send(holder, &core.FlowReply{Flow: m.Flow, Target: m.Target})
+		}
+	}
+}
+
 // contradicted reports whether a reply names the target that the flow is known to have left.
 func (s *Shard) contradicted(q query, target core.TargetID) bool {
 	o := s.owners[q.f.Target]
@@ -157,6 +183,8 @@
 	case target != 0 && target == o.id:
 		f.Known = true
 		o.setFlow(f.Request.Flow, o.id, s.now)
+		o.guessed.put(f.Request.Flow, s.now+core.RequestLifetime)
+		s.doubtOthers(o, f)
 		s.onOwned(o, f)
 	case target != 0 && s.view(target) != nil:
 		s.forwardFound(o, target, f)
