Return answers by target and flow in the randomized test

A target answers the VM that last sent it something for the caller; the test kept that per flow over all targets and so lost answers of retries on another target.

--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -28,7 +28,7 @@
 	asked    []asked
 	later    []event
 	// source is the VM that last sent something to a target for a flow, which gets the answers.
-	source     map[core.FlowKey]core.VMName
+	source     map[path]core.VMName
 	running    map[core.AttemptToken]bool
 	authUntil  map[core.VMName]time.Duration
 	isolated   core.VMName
@@ -37,6 +37,12 @@
 	failure    string
 }
 
+// path is a flow at a target.
+type path struct {
+	flow   core.FlowKey
+	target core.TargetID
+}
+
 type asked struct {
 	r     core.Request
 	first time.Duration
@@ -51,7 +57,7 @@
 func newWorld(t *rapid.T, tb testing.TB) *world {
 	seed := rapid.Uint64().Draw(t, "seed")
 	w := &world{rng: rand.New(rand.NewPCG(seed, 0)), fleet: newFleet(tb, 3, 4), runs: map[reqKey]int{}, notRun: map[reqKey]int{},
-		answered: map[reqKey]bool{}, source: map[core.FlowKey]core.VMName{},
+		answered: map[reqKey]bool{}, source: map[path]core.VMName{},
 		running: map[core.AttemptToken]bool{}, authUntil: map[core.VMName]time.Duration{}, incarnates: 3}
 	w.faults = []int{15, 60, 200}[w.draw(3)]
 	w.loss = []int{6, 20, 1000}[w.draw(3)]
@@ -183,7 +189,7 @@
 		}
 	}
 	w.after(1+w.draw(4), func() {
-		w.source[s.Request.Flow] = vm
+		w.source[path{s.Request.Flow, s.Target}] = vm
 		if s.Kind == core.SendCancel {
 			if w.running[s.Token] {
 				delete(w.running, s.Token)
@@ -217,7 +223,7 @@
 	}
 	a := answerTo(s, status, fmt.Sprint(s.Request.Flow.Port, s.Request.ID.Lo))
 	w.after(w.draw(4), func() {
-		vm := w.source[s.Request.Flow]
+		vm := w.source[path{s.Request.Flow, s.Target}]
 		if w.vms[vm] != nil {
 			w.in(vm, a)
 		}
