Resume when control gives a handover's receiver up

A handover to a VM that fell silent blocked its target for ever: a new release was ignored while one was unresolved. A release or takeover under a higher number now ends the unresolved handover, with a quarantine, and idempotent requests are served while the receiver is out of reach.

--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -16,6 +16,7 @@
 	number   core.HoldingNumber
 	chunks   uint32
 	lastEnd  time.Duration
+	began    time.Duration
 	outcomes []*core.RequestOutcome
 }
 
@@ -30,10 +31,17 @@
 // onRelease starts to hand a target over.
 func (s *Shard) onRelease(r core.Release) {
 	o := s.owners[r.Target]
-	if o == nil || o.handover != nil || r.To == s.opts.Self || r.Number <= o.number {
+	if o == nil || r.To == s.opts.Self || r.Number <= o.number {
 		return
 	}
-	h := &handoverOut{to: r.To, number: r.Number}
+	if old := o.handover; old != nil {
+		if r.Number <= old.number {
+			return
+		}
+		// Control has given the first receiver up.
+		s.abortHandover(o)
+	}
+	h := &handoverOut{to: r.To, number: r.Number, began: s.now}
 	o.handover = h
 	s.event(core.EventHandoverStarted, o.id)
 	s.send(h.to, s.handoverBegin(o, h))
@@ -240,14 +248,30 @@
 // abortHandovers resumes when the receiver's process is known to be dead. It may have confirmed and
 // started requests before, which leads to a quarantine.
 func (s *Shard) abortHandovers(peer core.VMName) {
-	for _, o := range s.ordered {
+	for _, o := range slices.Clone(s.ordered) {
 		if o.handover != nil && o.handover.to == peer {
-			o.quarantineUntil = max(o.quarantineUntil, s.now+core.RequestLifetime)
-			s.resumeHolding(o)
+			s.abortHandover(o)
 		}
 	}
 }
 
+func (s *Shard) abortHandover(o *owner) {
+	o.quarantineUntil = max(o.quarantineUntil, s.now+core.RequestLifetime)
+	s.resumeHolding(o)
+}
+
+// receiverSuspect reports whether a handover's receiver has been out of reach for handoverWait. Until
+// its fate is known, idempotent requests are served here, unless the target is cold.
+func (s *Shard) receiverSuspect(o *owner) bool {
+	h := o.handover
+	return h != nil && !s.reachable(h.to) && s.now-h.began >= handoverWait && !o.ramp.cold
+}
+
+// heldBack reports whether a request waits for the end of a handover.
+func (s *Shard) heldBack(o *owner, r *core.Request) bool {
+	return o.handover != nil && !(r.Idempotent && s.receiverSuspect(o))
+}
+
 func (s *Shard) resumeHolding(o *owner) {
 	o.handover = nil
 	s.event(core.EventHandoverFailed, o.id)
--- a/core/traffic/handover_test.go
+++ b/core/traffic/handover_test.go
@@ -119,6 +119,22 @@
 			f.request("a", read(1, 11))
 			So(f.requests(), ShouldHaveLength, n+1)
 		})
+		Convey("a silent receiver leaves idempotent requests here until control decides", func() {
+			f.cut["b"] = true
+			f.in("a", core.LinkEvent{Peer: "b", State: core.LinkDown})
+			f.in("a", core.Release{Target: 1, To: "b", Number: 2})
+			f.tick(handoverWait)
+			n := len(f.requests())
+			f.request("a", read(1, 8))
+			f.request("a", posting(1, 9))
+			So(f.requests(), ShouldHaveLength, n+1)
+			f.verdict(f.last(), core.AnswerOK, "")
+			f.in("a", core.TakeOver{Target: 1, Number: 3, FormerUntil: f.now + time.Second, FormerDiedBy: f.now})
+			So(f.vms["a"].owners[1].handover, ShouldBeNil)
+			f.tick(core.RequestLifetime + time.Second)
+			f.request("a", posting(1, 10))
+			So(f.requests(), ShouldHaveLength, n+2)
+		})
 		Convey("an incomplete handover is declined", func() {
 			f.hold = func(_ core.VMName, m core.Message) bool {
 				_, ok := m.(*core.HandoverChunk)
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -145,6 +145,13 @@
 // onTakeOver starts to hold a target whose former holder handed nothing over.
 func (s *Shard) onTakeOver(t core.TakeOver) {
 	if old := s.owners[t.Target]; old != nil {
+		if h := old.handover; h != nil && t.Number > h.number {
+			// Control has given the receiver up.
+			old.formerUntil = max(old.formerUntil, t.FormerUntil)
+			old.number = t.Number
+			s.abortHandover(old)
+			old.quarantineUntil = max(old.quarantineUntil, t.FormerUntil+core.RequestLifetime)
+		}
 		old.number = max(old.number, t.Number)
 		s.emit(core.HolderChanged{Target: old.id, Holder: s.opts.Self, Number: old.number})
 		return
--- a/core/traffic/park.go
+++ b/core/traffic/park.go
@@ -70,7 +70,7 @@
 // canRoute reports whether a request for the target would not be parked again.
 func (s *Shard) canRoute(id core.TargetID) bool {
 	if o := s.owners[id]; o != nil {
-		return o.handover == nil
+		return o.handover == nil || s.receiverSuspect(o)
 	}
 	h := s.holderOf(id)
 	return h != "" && h != s.opts.Self
--- a/core/traffic/queue.go
+++ b/core/traffic/queue.go
@@ -184,7 +184,7 @@
 
 // pump sends waiting requests while the target's limit allows it.
 func (s *Shard) pump(o *owner) {
-	if o.handover != nil || s.owners[o.id] != o {
+	if s.owners[o.id] != o || o.handover != nil && !s.receiverSuspect(o) {
 		return
 	}
 	s.stepRamp(o)
@@ -218,7 +218,7 @@
 
 // mayStart reports whether a queued request may take a free slot.
 func (s *Shard) mayStart(o *owner, r *request) bool {
-	if o.remote.flowBusy(r.req.Flow) || !r.req.Idempotent && !s.knowsBackup(o) {
+	if s.heldBack(o, &r.req) || o.remote.flowBusy(r.req.Flow) || !r.req.Idempotent && !s.knowsBackup(o) {
 		return false
 	}
 	if r.req.Class != core.ClassUpload {
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -65,7 +65,7 @@
 	if s.absorb(o, f) {
 		return
 	}
-	if o.handover != nil {
+	if s.heldBack(o, r) {
 		s.holdBack(o, f)
 		return
 	}
