--- a/core/traffic/limits.go
+++ b/core/traffic/limits.go
@@ -41,6 +41,8 @@
 	// minAttemptTime keeps short pauses of a target from causing retries.
 	minAttemptTime = 500 * time.Millisecond
 
+	// minComeBack and maxComeBack bound what callers are told: an earlier return finds the same
+	// queue, and a later one exceeds the deadline of any request.
 	minComeBack = 100 * time.Millisecond
 	maxComeBack = 10 * time.Second
 	// unreachableComeBack covers the time in which a failed holder is replaced.
@@ -51,17 +53,28 @@
 	retryShare = 0.1
 	// retryReserve lets a shard retry before it has sent many requests.
 	retryReserve = 3
+	// maxRetryFund bounds the retries that a long calm can save up for a burst of sheds.
 	maxRetryFund = 100
-
-	maxHops         = 40
-	maxParked       = 2048
-	maxAnswerBytes  = 4 << 20
-	maxQueries      = 1024
-	maxChunkBytes   = 48 << 10
-	movesPerTick    = 16
-	sweepPerTick    = 4096
+	// coldAfterErrors is the number of sheds and time-outs in a row after which a target is cold.
 	coldAfterErrors = 3
 
+	// maxHops ends forwarding loops. The longest regular path visits MaxFormerSets candidates and
+	// comes back once.
+	maxHops = 40
+	// maxParked and maxQueries bound the requests that wait for a holder and for peers; each is a
+	// packet of at most 64 KB.
+	maxParked  = 2048
+	maxQueries = 1024
+	// maxAnswerBytes bounds the stored answers of a shard.
+	maxAnswerBytes = 4 << 20
+	// maxChunkBytes leaves room for encoding below the 60 KB that a message may have.
+	maxChunkBytes = 48 << 10
+	// movesPerTick bounds the feeds that are placed anew in one tick, per target.
+	movesPerTick = 16
+	// sweepPerTick bounds the slots that a tick checks for idle flows, per table. A table of
+	// 300,000 flows is checked every 45 s.
+	sweepPerTick = 512
+
 	// loadSlack is the part by which a target's flows may exceed its share before new flows are
 	// redirected; it leaves room below the bound of 1.10 for loads that are a heartbeat old.
 	loadSlack = 1.04
