--- a/core/control/config.go
+++ b/core/control/config.go
@@ -146,6 +146,8 @@
 	c.hasNews()
 	c.recheckPending()
 	c.updateSets()
+	// Shards have to know a target before they are told to hold it.
+	c.publish()
 	c.applyEarly()
 	c.updateHolders()
 }
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -27,6 +27,7 @@
 // New returns a VM without configuration.
 func New(opts Options) *VM {
 	n := max(opts.Shards, 1)
+	opts.Control.Shards = n
 	v := &VM{self: opts.Control.Self, control: control.New(opts.Control)}
 	for i := range n {
 		v.shards = append(v.shards, traffic.New(traffic.Options{
