Ask unwatched members for the acknowledgements of a takeover

In fleets of more than 9 VMs a takeover waited forever for a former holder with which the VM exchanges no heartbeats, and stale announcements of peers that are no longer watched named wrong holders. A takeover now asks its former holder and, in zones of up to 32 VMs, all members.

--- a/core/control/heartbeat.go
+++ b/core/control/heartbeat.go
@@ -18,6 +18,9 @@
 	// number of hops logarithmic.
 	zoneRings  = 3
 	fleetRings = 1
+	// maxProven bounds the VMs that have to acknowledge a takeover. In a larger zone only watched
+	// VMs and the former holder do.
+	maxProven = 32
 	// sentLog is the number of sent heartbeats whose times are remembered per peer. It covers
 	// more than SuspectAfter at the highest rate of heartbeats.
 	sentLog = 32
@@ -65,6 +68,49 @@
 	for _, p := range c.heartbeatPeers() {
 		c.heartbeat(p)
 	}
+	c.probe()
+}
+
+// probe sends heartbeats to peers outside the usual ones whose acknowledgement a takeover needs.
+func (c *Control) probe() {
+	var asked []*peer
+	c.targets.all(func(_ core.TargetID, t *target) bool {
+		if t.holding.held && t.holding.take != nil {
+			asked = c.addUnacknowledged(asked, t)
+		}
+		return len(asked) < maxHeartbeatPeers
+	})
+	for _, p := range asked {
+		c.heartbeat(p)
+	}
+}
+
+// addUnacknowledged adds the unwatched peers that have to acknowledge the takeover of a target.
+func (c *Control) addUnacknowledged(asked []*peer, t *target) []*peer {
+	candidates := []*peer{c.peers.get(t.holding.former.vm)}
+	if list := c.possibleHolders(t); len(list) <= maxProven {
+		for _, e := range list {
+			candidates = append(candidates, e.peer)
+		}
+	}
+	for _, p := range candidates {
+		if p == nil || p.watched || len(asked) >= maxHeartbeatPeers || c.acknowledged(p, t.holding.take) {
+			continue
+		}
+		if !slices.Contains(asked, p) {
+			asked = append(asked, p)
+		}
+	}
+	return asked
+}
+
+// answerProbe answers a heartbeat of a peer that gets none regularly, so that it learns what this VM
+// has heard. The prober has just sent one itself and does not answer the answer.
+func (c *Control) answerProbe(p *peer) {
+	sent := p.sentAt[p.seqOut%sentLog]
+	if !p.watched && (sent.seq != p.seqOut || c.now-sent.at >= core.HeartbeatInterval-earlyGap) {
+		c.heartbeat(p)
+	}
 }
 
 // heartbeatDue decides about heartbeats ahead of time with a token bucket.
@@ -135,7 +181,9 @@
 			p.heardSince = c.now
 		}
 		if !watched {
+			// What the peer announced is no longer kept up to date.
 			p.suspect = false
+			p.holdings = nil
 		}
 		p.watched = watched
 		return true
@@ -204,6 +252,7 @@
 		c.touch(changeStructure)
 	}
 	c.updatePulls()
+	c.answerProbe(p)
 }
 
 // acceptHeartbeat refuses heartbeats of ended processes and those overtaken by newer ones.
--- a/core/control/takeover.go
+++ b/core/control/takeover.go
@@ -250,9 +250,7 @@
 	if c.acknowledged(e.peer, h.take) || c.agrees(t, e.peer) {
 		return true
 	}
-	// In a large fleet not every member exchanges heartbeats with this VM. Those lose authority
-	// with their confirmation if the members changed.
-	return !e.peer.watched
+	return !e.peer.watched && len(c.possibleHolders(t)) > maxProven
 }
 
 // acknowledged reports whether a peer has received a heartbeat that announced the takeover. It has
