Do not hand a target back to the VM that has just handed it over

The receiver of a leaving VM's target still took that VM for desired, as the handover overtook the heartbeat that says leaving, and handed it back at once. A target now stays with its new holder for handoverAfter.

--- a/core/control/decision_test.go
+++ b/core/control/decision_test.go
@@ -213,3 +213,61 @@
 		})
 	})
 }
+
+// idleShare lets d pass and returns the share of time in which a target had no VM with authority, on
+// average over the targets, and the longest such time.
+func (w *world) idleShare(d time.Duration, targets []core.Target) (share float64, longest time.Duration) {
+	const step = 10 * time.Millisecond
+	since := make([]time.Duration, len(targets))
+	idle, all := 0, 0
+	for end := w.now + d; w.now < end; w.advance(step) {
+		for i, t := range targets {
+			all++
+			if slices.ContainsFunc(w.vms, func(v *vm) bool { return v.hasAuthority(t.ID) }) {
+				since[i] = 0
+				continue
+			}
+			idle++
+			since[i] += step
+			longest = max(longest, since[i])
+		}
+	}
+	return float64(idle) / float64(all), longest
+}
+
+// Guards against postings that are refused while VMs are replaced or a zone leaves and returns.
+func TestPlannedChanges(t *testing.T) {
+	Convey("Given 8 VMs and 18 targets", t, func() {
+		w := newFleet(10, 8)
+		w.advance(20 * time.Second)
+		targets := targetsOf(w.configs[1])
+		Convey("a rolling replacement leaves each target without authority for a moment only", func() {
+			total, longest := 0.0, time.Duration(0)
+			for _, v := range w.vms {
+				v.handle(core.Stop{})
+				v.report(core.ShardDrained{})
+				share, long := w.idleShare(4*time.Second, targets)
+				v.kill()
+				v.start()
+				share2, long2 := w.idleShare(6*time.Second, targets)
+				total += share*0.4 + share2*0.6
+				longest = max(longest, long, long2)
+			}
+			t.Logf("rolling replacement: %.4f of the time without authority, longest %v", total/8, longest)
+			So(longest, ShouldBeLessThan, 100*time.Millisecond)
+			So(total/8, ShouldBeLessThan, 0.001)
+		})
+		Convey("a zone out and in leaves each target without authority for a moment only", func() {
+			next := copyConfig(w.configs[1])
+			next.Zones[0].State = core.ZoneOut
+			w.accept(next)
+			out, longestOut := w.idleShare(20*time.Second, targets)
+			back := copyConfig(next)
+			back.Zones[0].State = core.ZoneIn
+			w.accept(back)
+			in, longestIn := w.idleShare(20*time.Second, targets)
+			t.Logf("zone out: %.4f of the time without authority, longest %v; zone in: %.4f, %v", out, longestOut, in, longestIn)
+			So(max(longestOut, longestIn), ShouldBeLessThan, 500*time.Millisecond)
+		})
+	})
+}
--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -70,9 +70,10 @@
 
 // holding is what control knows about who holds a target.
 type holding struct {
-	// held is true while this VM holds the target, under number.
-	held   bool
-	number core.HoldingNumber
+	// held is true while this VM holds the target, since heldSince and under number.
+	held      bool
+	heldSince time.Duration
+	number    core.HoldingNumber
 	// dropped is the highest number under which this VM had to drop the target.
 	dropped core.HoldingNumber
 	// highest is the highest number heard of.
@@ -460,6 +461,7 @@
 	if !received {
 		return
 	}
+	h.heldSince = c.now
 	c.emit(core.Event{Kind: core.EventHandoverDone, VM: c.opts.Self, Target: t.id, Value: uint64(number)})
 	h.take = nil
 	if h.claim.beats(claim{vm: c.opts.Self, number: number}) {
@@ -592,7 +594,11 @@
 	if p.watched && (p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch) {
 		return false
 	}
-	return c.stop.leaving || c.zoneOut(t.target.Zone) || c.now-h.desiredAt >= handoverAfter
+	if c.stop.leaving || c.zoneOut(c.opts.Zone) {
+		return true
+	}
+	// A leaving VM may hand a target over before it is heard to leave; it must not get it back.
+	return c.now-max(h.desiredAt, h.heldSince) >= handoverAfter
 }
 
 // releases returns the number of handovers under way.
--- a/core/control/takeover.go
+++ b/core/control/takeover.go
@@ -52,6 +52,7 @@
 	h.take = c.newTakeover(c.nextNumber(t))
 	h.take.first = first
 	h.held = true
+	h.heldSince = c.now
 	h.number = h.take.number
 	h.highest = h.number
 	c.emit(core.Event{Kind: core.EventTakeOver, VM: h.former.vm, Zone: t.target.Zone, Target: t.id, Value: uint64(h.number)})
