--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -70,11 +70,10 @@
 
 // holding is what control knows about who holds a target.
 type holding struct {
-	// held is true while this VM holds the target, under number.
-	held   bool
-	number core.HoldingNumber
-	// heldSince is when this VM got the target.
+	// held is true while this VM holds the target, since heldSince and under number.
+	held      bool
 	heldSince time.Duration
+	number    core.HoldingNumber
 	// dropped is the highest number under which this VM had to drop the target.
 	dropped core.HoldingNumber
 	// highest is the highest number heard of.
@@ -595,10 +594,11 @@
 	if p.watched && (p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch) {
 		return false
 	}
-	// A target that has just arrived is not handed back before the sender's heartbeats can say that
-	// it leaves.
-	settled := c.now-max(h.desiredAt, h.heldSince) >= handoverAfter
-	return c.stop.leaving || c.zoneOut(t.target.Zone) || settled
+	if c.stop.leaving || c.zoneOut(c.opts.Zone) {
+		return true
+	}
+	// A leaving VM may hand a target over before it is heard to leave; it must not get it back.
+	return c.now-max(h.desiredAt, h.heldSince) >= handoverAfter
 }
 
 // releases returns the number of handovers under way.
--- a/core/control/takeover.go
+++ b/core/control/takeover.go
@@ -52,6 +52,7 @@
 	h.take = c.newTakeover(c.nextNumber(t))
 	h.take.first = first
 	h.held = true
+	h.heldSince = c.now
 	h.number = h.take.number
 	h.highest = h.number
 	c.emit(core.Event{Kind: core.EventTakeOver, VM: h.former.vm, Zone: t.target.Zone, Target: t.id, Value: uint64(h.number)})
@@ -250,9 +251,7 @@
 	if c.acknowledged(e.peer, h.take) || c.agrees(t, e.peer) {
 		return true
 	}
-	// In a large fleet not every member exchanges heartbeats with this VM. Those lose authority
-	// with their confirmation if the members changed.
-	return !e.peer.watched
+	return !e.peer.watched && len(c.possibleHolders(t)) > maxProven
 }
 
 // acknowledged reports whether a peer has received a heartbeat that announced the takeover. It has
