bench: measure the figures of the design page next to simple variants

The design page bounds fourteen figures, and nothing measured them. Measuring on real processes was ruled out for this command, as exact moments of faults and equal traces for all variants need virtual time.

Add internal/bench with a baseline core, scenarios on coretest deployments and tables for the ideas of the related paper; add cmd/bench and the Makefile target. coretest gets accessors, and callers note the VMs that their packets reached.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 
 check: fmtcheck vet lint test
 
+# Prints the figures of docs/design.md 1.5; ends by itself within 10 minutes.
+bench:
+	$(GO) run ./cmd/bench
+
 # Needs protoc; the plugin is built from the version in go.mod.
 generate:
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
--- /dev/null
+++ b/internal/bench/baseline.go
@@ -0,0 +1,196 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/control"
+	"github.com/mangoweir/mangoweir/core/rendezvous"
+)
+
+// pollInterval is the time between two reads of the platform by a VM of a baseline.
+const pollInterval = time.Second
+
+// BaselineOptions selects a variant. The zero value is rendezvous hashing alone.
+type BaselineOptions struct {
+	// Table keeps a flow table on each VM.
+	Table bool
+	// Home forwards each packet to the flow's home VM, chosen by rendezvous hashing over the VMs
+	// to which a link stands.
+	Home bool
+}
+
+// Baseline is the decision core of the simplest variants: flows are assigned by rendezvous hashing
+// over the configuration that the VM has, each VM may use a static share of each target's slots, and
+// requests are remembered by the VM that got them.
+type Baseline struct {
+	opts BaselineOptions
+	vm   control.Options
+	now  time.Duration
+	out  []core.Action
+
+	config   *core.Config
+	sets     map[core.ServiceID]*activeSet
+	targets  map[core.TargetID]*core.Target
+	polledAt time.Duration
+	vms      []core.VMName
+	links    map[core.VMName]bool
+
+	table    map[core.FlowKey]core.TargetID
+	work     map[core.TargetID]*targetWork
+	records  map[recordKey]*record
+	expiry   []*record
+	attempts map[core.AttemptToken]*record
+	feeds    map[core.AttemptToken]*record
+	counter  uint32
+	stopping bool
+}
+
+// activeSet holds the targets of a service that accept new flows.
+type activeSet struct {
+	ids     []core.TargetID
+	hashes  []uint64
+	weights []float64
+}
+
+// NewBaseline returns a core that has no configuration yet.
+func NewBaseline(opts BaselineOptions, vm control.Options) *Baseline {
+	return &Baseline{
+		opts: opts, vm: vm, polledAt: -pollInterval,
+		vms:      []core.VMName{vm.Self},
+		links:    map[core.VMName]bool{},
+		table:    map[core.FlowKey]core.TargetID{},
+		work:     map[core.TargetID]*targetWork{},
+		records:  map[recordKey]*record{},
+		attempts: map[core.AttemptToken]*record{},
+		feeds:    map[core.AttemptToken]*record{},
+	}
+}
+
+// Handle processes one input.
+func (b *Baseline) Handle(in core.Input, now time.Duration) []core.Action {
+	b.now = now
+	b.out = nil
+	switch in := in.(type) {
+	case core.CallerRequest:
+		b.onCaller(in.Request)
+	case core.TargetAnswer:
+		b.onAnswer(in)
+	case core.PeerMessage:
+		if f, ok := in.Msg.(*core.ForwardRequest); ok {
+			b.serve(f.Request)
+		}
+	case core.LinkEvent:
+		b.links[in.Peer] = in.State == core.LinkUp
+	case core.ManifestRead:
+		b.install(in)
+	case core.VMListRead:
+		b.onVMList(in)
+	case core.Stop:
+		b.stopping = true
+	case core.Tick:
+		b.tick()
+	}
+	return b.out
+}
+
+func (b *Baseline) emit(a core.Action) { b.out = append(b.out, a) }
+
+func (b *Baseline) tick() {
+	if b.now-b.polledAt >= pollInterval {
+		b.polledAt = b.now
+		b.emit(core.ReadManifest{})
+		b.emit(core.ReadVMList{})
+	}
+	b.expire()
+	if b.stopping && len(b.attempts) == 0 {
+		b.emit(core.Drained{})
+	}
+}
+
+// install takes over a newer configuration.
+func (b *Baseline) install(in core.ManifestRead) {
+	if b.config != nil && in.Generation <= b.config.Generation {
+		return
+	}
+	c, err := b.vm.Decode(in.Generation, in.Text)
+	if err != nil {
+		return
+	}
+	b.config = c
+	b.sets = map[core.ServiceID]*activeSet{}
+	b.targets = map[core.TargetID]*core.Target{}
+	for i := range c.Services {
+		b.sets[c.Services[i].ID] = b.activeSet(&c.Services[i])
+	}
+	b.emit(core.Event{Kind: core.EventConfigInstalled, VM: b.vm.Self, Value: uint64(c.Generation)})
+}
+
+// activeSet returns the targets of a service that accept new flows, and notes all that may be used.
+func (b *Baseline) activeSet(s *core.Service) *activeSet {
+	set := &activeSet{}
+	for i := range s.Targets {
+		t := &s.Targets[i]
+		if b.config.ZoneState(t.Zone) == core.ZoneOut {
+			continue
+		}
+		b.targets[t.ID] = t
+		if t.State != core.TargetActive {
+			continue
+		}
+		set.ids = append(set.ids, t.ID)
+		set.hashes = append(set.hashes, rendezvous.Mix(uint64(t.ID), 1))
+		set.weights = append(set.weights, t.Weight)
+	}
+	return set
+}
+
+// onVMList takes over the platform's list and, with home VMs, connects to all peers.
+func (b *Baseline) onVMList(in core.VMListRead) {
+	b.vms = b.vms[:0]
+	for _, v := range in.VMs {
+		b.vms = append(b.vms, v.Name)
+		if b.opts.Home && v.Name != b.vm.Self {
+			b.emit(core.Dial{Peer: v.Name, Zone: v.Zone, Addr: v.Addr})
+		}
+	}
+	slices.Sort(b.vms)
+}
+
+// home returns the flow's home VM among those that can be reached.
+func (b *Baseline) home(flow core.FlowKey) core.VMName {
+	var names []core.VMName
+	var hashes []uint64
+	for _, n := range b.vms {
+		if n == b.vm.Self || b.links[n] {
+			names = append(names, n)
+			hashes = append(hashes, rendezvous.HashString(string(n)))
+		}
+	}
+	if i := rendezvous.Pick(flow.Hash(), hashes, nil); i >= 0 {
+		return names[i]
+	}
+	return b.vm.Self
+}
+
+// target returns the flow's target, or nil.
+func (b *Baseline) target(flow core.FlowKey) *core.Target {
+	if b.opts.Table {
+		if t := b.targets[b.table[flow]]; t != nil {
+			return t
+		}
+	}
+	set := b.sets[flow.Service]
+	if set == nil {
+		return nil
+	}
+	i := rendezvous.Pick(flow.Hash(), set.hashes, set.weights)
+	if i < 0 {
+		return nil
+	}
+	if b.opts.Table {
+		b.table[flow] = set.ids[i]
+	}
+	return b.targets[set.ids[i]]
+}
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/spf13/cobra"
+)
+
+// Group is a set of figures that are measured together.
+type Group struct {
+	Name    string
+	Figures []string
+	// Scenarios are run on the project's core and on the baseline before Measure, several at a time.
+	Scenarios []Scenario
+	Measure   func(*Env) ([]Figure, error)
+}
+
+// Groups lists the figures of the design page. Timings come first, before scenarios take the cores.
+func Groups() []Group {
+	return []Group{
+		{"core", []string{"route-time", "route-allocations", "flow-state", "flow-state-with-feed"}, nil, microFigures},
+		{"flows", []string{"planned-broken-flows", "kill-broken-flows-seen", "kill-broken-flows-rest"},
+			[]Scenario{Planned, Killed}, flowFigures},
+		{"safety", []string{"doubled-requests", "wrong-answers", "untrue-not-run", "wrong-service-packets",
+			"zone-out-packets", "leaving-target-new-work", "core-panics"}, SafetyScenarios, safetyFigures},
+		{"balance", []string{"imbalance-randstad", "imbalance-sfax"}, []Scenario{SteadySfax, SteadyRandstad}, balanceFigures},
+		{"cold", []string{"cold-over-bound-joined", "cold-over-bound-restarted"},
+			[]Scenario{ColdJoin, ColdRestart}, coldFigures},
+		{"zone", []string{"zone-goodput-feeds", "zone-goodput-postings"}, []Scenario{ZoneMove}, zoneFigures},
+		{"control", []string{"config-in-force", "control-bytes"}, []Scenario{ConfigInForce, Planned}, controlFigures},
+	}
+}
+
+// ComparisonGroup is a table that compares variants.
+type ComparisonGroup struct {
+	Name    string
+	Measure func(*Env) ([]Comparison, error)
+}
+
+// ComparisonGroups lists the tables that compare variants.
+func ComparisonGroups() []ComparisonGroup {
+	return []ComparisonGroup{
+		{"variants", variantTable},
+		{"virtual-nodes", virtualNodeTable},
+		{"hot-target", hotTargetTable},
+		{"forwarding", forwardingTable},
+	}
+}
+
+// Names returns everything that can be measured alone.
+func Names() []string {
+	var names []string
+	for _, g := range Groups() {
+		names = append(names, g.Name)
+		names = append(names, g.Figures...)
+	}
+	for _, c := range ComparisonGroups() {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+// Measure measures the figure, group or table with the given name, or everything when it is empty.
+func Measure(seed uint64, only string) (*Report, error) {
+	if only != "" && !slices.Contains(Names(), only) {
+		return nil, fmt.Errorf("nothing is called %q; names are %v", only, Names())
+	}
+	e := NewEnv(seed)
+	r := &Report{Seed: seed}
+	for _, g := range Groups() {
+		if only != "" && only != g.Name && !slices.Contains(g.Figures, only) {
+			continue
+		}
+		if err := e.Prefetch(g.Scenarios, []Variant{HashAlone, Mangoweir}); err != nil {
+			return nil, err
+		}
+		list, err := g.Measure(e)
+		if err != nil {
+			return nil, err
+		}
+		for _, f := range list {
+			if only == "" || only == g.Name || only == f.Name {
+				r.Figures = append(r.Figures, f)
+			}
+		}
+	}
+	for _, c := range ComparisonGroups() {
+		if only != "" && only != c.Name {
+			continue
+		}
+		list, err := c.Measure(e)
+		if err != nil {
+			return nil, err
+		}
+		r.Comparisons = append(r.Comparisons, list...)
+	}
+	return r, nil
+}
+
+// Run runs the bench command and returns its exit code: 0 when everything was measured, whatever
+// the verdicts, and 1 when a measurement could not run.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var seed uint64
+	var only string
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:           "bench",
+		Short:         "Measure the figures of section 1.5 of the design page",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			r, err := Measure(seed, only)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return r.JSON(stdout)
+			}
+			return r.Text(stdout)
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the scenarios")
+	cmd.Flags().StringVar(&only, "only", "", "measure one figure, group or table")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON document")
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(stderr, "bench:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,54 @@
+package bench
+
+import "fmt"
+
+// balanceFigures measures the imbalance over equal warm targets.
+func balanceFigures(e *Env) ([]Figure, error) {
+	var list []Figure
+	for _, x := range []struct {
+		name string
+		s    Scenario
+	}{{"imbalance-randstad", SteadyRandstad}, {"imbalance-sfax", SteadySfax}} {
+		own, base, err := e.Pair(x.s, HashAlone)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, atMost(x.name, "max/mean", 1.10, own.MaxOverMean).
+			against(HashAlone.Name, base.MaxOverMean).
+			noted(fmt.Sprintf("coefficient of variation %.3f; %s %.3f", own.CV, HashAlone.Name, base.CV)))
+	}
+	return list, nil
+}
+
+// coldFigures measures the work at cold targets.
+func coldFigures(e *Env) ([]Figure, error) {
+	var list []Figure
+	for _, x := range []struct {
+		name string
+		s    Scenario
+	}{{"cold-over-bound-joined", ColdJoin}, {"cold-over-bound-restarted", ColdRestart}} {
+		own, base, err := e.Pair(x.s, HashAlone)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, atMost(x.name, "requests", 0, float64(own.ColdOver)).
+			against(HashAlone.Name, float64(base.ColdOver)).
+			noted(fmt.Sprintf("peak in flight %.1f times the bound; %s %.1f", own.Meter.ColdPeak,
+				HashAlone.Name, base.Meter.ColdPeak)))
+	}
+	return list, nil
+}
+
+// zoneFigures measures the goodput while a zone leaves and returns.
+func zoneFigures(e *Env) ([]Figure, error) {
+	own, base, err := e.Pair(ZoneMove, HashAlone)
+	if err != nil {
+		return nil, err
+	}
+	return []Figure{
+		atLeast("zone-goodput-feeds", "%", 99.9, 100*own.Feeds).against(HashAlone.Name, 100*base.Feeds).
+			noted("seconds in which a feed was live"),
+		atLeast("zone-goodput-postings", "%", 99.9, 100*own.Postings).
+			against(HashAlone.Name, 100*base.Postings).noted("postings answered, of those that ended"),
+	}, nil
+}
--- /dev/null
+++ b/internal/bench/safety.go
@@ -0,0 +1,52 @@
+package bench
+
+import (
+	"fmt"
+
+	"github.com/mangoweir/mangoweir/internal/coretest"
+)
+
+// safetyCount is a count of broken promises with its name.
+type safetyCount struct {
+	name  string
+	count func(*coretest.Stats) uint64
+}
+
+var safetyCounts = []safetyCount{
+	{"doubled-requests", func(s *coretest.Stats) uint64 { return s.Doubles }},
+	{"wrong-answers", func(s *coretest.Stats) uint64 { return s.WrongAnswers }},
+	{"untrue-not-run", func(s *coretest.Stats) uint64 { return s.UntrueNotRun }},
+	{"wrong-service-packets", func(s *coretest.Stats) uint64 { return s.WrongService }},
+	{"zone-out-packets", func(s *coretest.Stats) uint64 { return s.ZoneOutPackets }},
+	{"leaving-target-new-work", func(s *coretest.Stats) uint64 { return s.LeavingWork }},
+}
+
+// safetyFigures counts broken promises over all scenarios with changes and faults.
+func safetyFigures(e *Env) ([]Figure, error) {
+	own := make([]uint64, len(safetyCounts))
+	base := make([]uint64, len(safetyCounts))
+	var panics uint64
+	first := ""
+	for _, s := range SafetyScenarios {
+		o, b, err := e.Pair(s, HashAlone)
+		if err != nil {
+			return nil, err
+		}
+		for i, c := range safetyCounts {
+			own[i] += c.count(&o.Stats)
+			base[i] += c.count(&b.Stats)
+		}
+		panics += o.Meter.Panics
+		if first == "" {
+			first = o.Meter.FirstPanic
+		}
+	}
+	var list []Figure
+	for i, c := range safetyCounts {
+		list = append(list, atMost(c.name, "", 0, float64(own[i])).
+			against(HashAlone.Name, float64(base[i])).
+			noted(fmt.Sprintf("sum over %d scenarios", len(SafetyScenarios))))
+	}
+	list = append(list, atMost("core-panics", "", 0, float64(panics)).against(HashAlone.Name, 0).noted(first))
+	return list, nil
+}
--- a/internal/coretest/caller.go
+++ b/internal/coretest/caller.go
@@ -33,6 +33,10 @@
 	Key core.FlowKey
 	// Target is the target that last answered.
 	Target core.TargetID
+	// Broken is true when the flow moved, or its feed went silent, without a permitted cause.
+	Broken bool
+	// Ingress holds the VMs that the flow's packets reached through the fabric.
+	Ingress map[core.VMName]bool
 
 	w        *World
 	opts     CallerOptions
@@ -56,7 +60,8 @@
 // AddCaller starts a caller.
 func (w *World) AddCaller(opts CallerOptions) *Caller {
 	key := callerKey(len(w.callers), opts.Service)
-	c := &Caller{Key: key, w: w, opts: opts, calls: map[core.RequestID]*call{}}
+	c := &Caller{Key: key, w: w, opts: opts, calls: map[core.RequestID]*call{},
+		Ingress: map[core.VMName]bool{}}
 	w.callers[key] = c
 	w.After(opts.Quiet, c.start)
 	return c
@@ -73,6 +78,20 @@
 // Callers returns the number of callers.
 func (w *World) Callers() int { return len(w.callers) }
 
+// Caller returns the caller of a flow, or nil.
+func (w *World) Caller(flow core.FlowKey) *Caller { return w.callers[flow] }
+
+// CountCallers returns the number of callers for which a condition holds.
+func (w *World) CountCallers(holds func(*Caller) bool) int {
+	n := 0
+	for _, c := range w.callers {
+		if holds(c) {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Caller) start() {
 	if c.opts.Feed {
 		c.offer(core.ClassFeed, core.MethodSubscribe)
@@ -160,6 +179,9 @@
 		}
 		w.After(delay, func() {
 			if m := w.vms[name]; m.alive {
+				if c := w.callers[r.Flow]; c != nil {
+					c.Ingress[name] = true
+				}
 				w.input(name, core.CallerRequest{Request: r})
 			}
 		})
@@ -244,6 +266,7 @@
 	if old == 0 || old == target || c.w.mayLeave(old) {
 		return
 	}
+	c.Broken = true
 	c.w.Stats.BrokenFlows++
 	c.w.violate("flow %v moved from target %s to %s", c.Key.CallerAddr(), c.w.name(old), c.w.name(target))
 }
@@ -268,6 +291,7 @@
 		if c.feedLive && silence > feedBroken {
 			c.feedLive = false
 			if !c.w.mayLeave(c.Target) {
+				c.Broken = true
 				c.w.Stats.BrokenFlows++
 				c.w.violate("feed of %v is silent on target %s", c.Key.CallerAddr(), c.w.name(c.Target))
 			}
@@ -307,6 +331,17 @@
 	return false
 }
 
+// InService reports whether the newest configuration has a target and its zone is in service.
+func (w *World) InService(id core.TargetID) bool {
+	for _, t := range w.targets {
+		if t.Target.ID == id {
+			_, _, out := w.zoneOut(t.Target.Zone)
+			return !out && w.configured(id)
+		}
+	}
+	return false
+}
+
 // recentlyOut reports whether a zone was out in any configuration of the last minute.
 func (w *World) recentlyOut(zone core.ZoneName) bool {
 	p := &w.Platform
--- a/internal/coretest/platform.go
+++ b/internal/coretest/platform.go
@@ -72,6 +72,11 @@
 	return c
 }
 
+// Accepted returns the newest generation and the time at which the platform accepted it.
+func (w *World) Accepted() (core.Generation, time.Duration) {
+	return w.Platform.generation, w.Platform.acceptedAt[w.Platform.generation]
+}
+
 // platformCall answers a VM's call to the platform.
 func (w *World) platformCall(m *machine, a core.Action) {
 	name, inc, started := m.info.Name, m.inc, w.now
