--- a/core/control/control.go
+++ b/core/control/control.go
@@ -61,6 +61,7 @@
 	c.zones = newTable[core.ZoneName, *zone]()
 	c.targets = newTable[core.TargetID, *target]()
 	c.config.services = make(map[core.ServiceID]*service)
+	c.config.early = make(map[core.TargetID]core.HolderChanged)
 	c.authority.drop()
 	return c
 }
@@ -127,7 +128,7 @@
 	c.updatePulls()
 	c.updateMembers()
 	c.updateTargets()
-	c.updateHolders()
+	c.tickHolders()
 	c.updateStatus()
 	c.updateStop()
 	c.sendHeartbeats()
--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -21,6 +21,9 @@
 	// unheldGrace is the time for which nobody may announce a target before it is taken over from
 	// a live VM; a handover takes at most a second and is announced with the next heartbeat.
 	unheldGrace = 1500 * time.Millisecond
+	// unwatchedGrace is the same when members exist whose announcements this VM does not get. They
+	// hand the target over as soon as they see that this VM is desired.
+	unwatchedGrace = 5 * time.Second
 	// dropGrace is the time for which a handover's sender leaves it to the shard to notice that
 	// the receiver holds the target.
 	dropGrace = 1500 * time.Millisecond
@@ -70,6 +73,10 @@
 	// held is true while this VM holds the target, under number.
 	held   bool
 	number core.HoldingNumber
+	// heldSince is when this VM got the target.
+	heldSince time.Duration
+	// dropped is the highest number under which this VM had to drop the target.
+	dropped core.HoldingNumber
 	// highest is the highest number heard of.
 	highest core.HoldingNumber
 	// claim is the best present claim of a peer; former the best ever heard.
@@ -120,6 +127,15 @@
 // gone reports whether the elector's process is known to have ended.
 func (e elector) gone() bool { return e.peer != nil && e.peer.gone(e.incarnation) }
 
+// tickHolders calls updateHolders when something changed or time may have.
+func (c *Control) tickHolders() {
+	if c.view.refreshed == c.view.structure && c.now < c.view.holdersAt {
+		return
+	}
+	c.view.holdersAt = c.now + targetsInterval
+	c.updateHolders()
+}
+
 // updateHolders decides for all targets who should hold them and acts on it.
 func (c *Control) updateHolders() {
 	if c.config.current == nil {
@@ -260,7 +276,7 @@
 	}
 	none := true
 	c.peers.all(func(_ core.VMName, p *peer) bool {
-		none = p.zone != name || !p.live()
+		none = p.zone != name || !c.alive(p)
 		return none
 	})
 	return none
@@ -272,7 +288,7 @@
 	if e.name == c.opts.Self {
 		return !c.stop.leaving
 	}
-	return e.peer != nil && e.peer.available()
+	return e.peer != nil && c.available(e.peer)
 }
 
 // desired returns the VM that should hold a target. VMs that are no members yet are desired only
@@ -345,6 +361,7 @@
 		}
 	}
 	if !same {
+		c.hasNews()
 		c.touch(changeStructure)
 		c.updateHolders()
 	}
@@ -409,34 +426,71 @@
 func (c *Control) onHolderChanged(r core.HolderChanged) {
 	t := c.targets.get(r.Target)
 	if t == nil {
+		c.config.early[r.Target] = r
 		return
 	}
 	h := &t.holding
 	h.highest = max(h.highest, r.Number)
 	if r.Holder == c.opts.Self {
-		c.noteOwnHolding(h, r.Number)
+		c.noteOwnHolding(t, r.Number)
 	} else if !h.held || r.Number >= h.number {
 		c.noteLostHolding(h, r)
 	}
 	c.touch(changeStructure)
 	c.hasNews()
+	c.updateHolders()
 }
 
-// noteOwnHolding records that a shard of this VM holds a target. A higher number than before was
-// received by handover, which leaves no former holder to wait for.
-func (c *Control) noteOwnHolding(h *holding, number core.HoldingNumber) {
+// noteOwnHolding records that a shard of this VM holds a target. A target received by handover can be
+// used at once if its sender was certainly its rightful holder.
+func (c *Control) noteOwnHolding(t *target, number core.HoldingNumber) {
+	h := &t.holding
 	if h.held && number < h.number {
 		return
 	}
-	if !h.held || number > h.number {
-		h.take = nil
-		c.emit(core.Event{Kind: core.EventHandoverDone, VM: c.opts.Self, Value: uint64(number)})
+	if number <= h.dropped {
+		// The report was under way when the shard was told to drop the target.
+		c.drop(t, h.former)
+		return
 	}
+	received := !h.held || number > h.number
 	if h.release != nil {
 		c.endRelease(h)
 	}
 	h.held = true
 	h.number = number
+	if !received {
+		return
+	}
+	h.heldSince = c.now
+	c.emit(core.Event{Kind: core.EventHandoverDone, VM: c.opts.Self, Target: t.id, Value: uint64(number)})
+	h.take = nil
+	if h.claim.beats(claim{vm: c.opts.Self, number: number}) {
+		c.drop(t, h.claim)
+		return
+	}
+	if !c.rightful(t) {
+		c.prove(t)
+	}
+}
+
+// rightful reports whether the VM that handed a target over had authority over it. A VM that was cut
+// off may not know that another one has replaced it.
+func (c *Control) rightful(t *target) bool {
+	h := &t.holding
+	p := c.peers.get(h.former.vm)
+	if p == nil || h.claim.vm != "" && h.claim.vm != p.name {
+		return false
+	}
+	if h.foreign {
+		return !slices.ContainsFunc(h.electors, func(e elector) bool {
+			return c.heardUntil(core.Member{Name: e.name, Incarnation: e.incarnation}) <= c.now
+		})
+	}
+	if !c.mayBeMember(p, p.incarnation) {
+		return false
+	}
+	return p.confirmedAt+core.ConfirmTTL > c.now || c.outageAuthority() > c.now
 }
 
 // noteLostHolding records that no shard of this VM holds a target any more.
@@ -460,21 +514,21 @@
 	if r := h.release; r != nil && r.to == h.claim.vm && c.now-r.at < dropGrace {
 		return
 	}
+	c.drop(t, h.claim)
+}
+
+// drop tells the shard that another VM holds the target.
+func (c *Control) drop(t *target, by claim) {
+	h := &t.holding
+	h.dropped = max(h.dropped, h.number)
 	h.held = false
 	h.take = nil
 	h.release = nil
-	c.emit(core.ToShard{Target: t.id, Input: core.Drop{Target: t.id, Holder: h.claim.vm, Number: h.claim.number}})
+	c.emit(core.ToShard{Target: t.id, Input: core.Drop{Target: t.id, Holder: by.vm, Number: by.number}})
 	c.touch(changeStructure)
 	c.hasNews()
 }
 
-// nextNumber returns the holding number for the next holder of a target.
-func (c *Control) nextNumber(t *target) core.HoldingNumber {
-	const countBits = 16
-	base := core.HoldingNumber(c.zone(t.target.Zone).epoch) << countBits
-	return max(t.holding.highest+1, base)
-}
-
 // considerRelease hands a target over to the VM that should hold it.
 func (c *Control) considerRelease(t *target) {
 	h := &t.holding
@@ -488,7 +542,9 @@
 	if !c.releaseDue(t) || c.releases() >= maxReleases {
 		return
 	}
-	h.highest = c.nextNumber(t)
+	// The number stays below those of takeovers in newer epochs: a VM that was replaced without
+	// knowing it must not hand over a better claim than its successor's.
+	h.highest++
 	h.release = &release{to: h.desired, number: h.highest}
 	c.tellRelease(t)
 	c.emit(core.Event{Kind: core.EventHandoverStarted, VM: h.desired, Zone: t.target.Zone, Target: t.id})
@@ -512,7 +568,7 @@
 	case p == nil || p.dead:
 		c.endRelease(h)
 	case c.now-r.at < releaseTimeout:
-	case p.available():
+	case c.available(p):
 		c.tellRelease(t)
 	case p.suspect && c.replaceable(p):
 		c.endRelease(h)
@@ -533,13 +589,16 @@
 func (c *Control) releaseDue(t *target) bool {
 	h := &t.holding
 	p := c.peers.get(h.desired)
-	if p == nil || !p.available() || h.take != nil || c.now < h.retryAfter {
+	if p == nil || !c.available(p) || h.take != nil || c.now < h.retryAfter {
 		return false
 	}
-	if p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch {
+	if p.watched && (p.generation < c.generation() || epochOf(p.epochs, t.target.Zone) < c.zone(t.target.Zone).epoch) {
 		return false
 	}
-	return c.stop.leaving || c.zoneOut(t.target.Zone) || c.now-h.desiredAt >= handoverAfter
+	// A target that has just arrived is not handed back before the sender's heartbeats can say that
+	// it leaves.
+	settled := c.now-max(h.desiredAt, h.heldSince) >= handoverAfter
+	return c.stop.leaving || c.zoneOut(t.target.Zone) || settled
 }
 
 // releases returns the number of handovers under way.
--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -12,6 +12,7 @@
 // until cancelGrace after it was withdrawn.
 type attempt struct {
 	token  core.AttemptToken
+	number uint8
 	o      *owner
 	r      *request
 	addr   netip.AddrPort
@@ -22,14 +23,21 @@
 }
 
 func (s *Shard) nextToken() core.AttemptToken {
-	n := s.opts.FirstToken + s.counter*s.opts.TokenStep
-	s.counter++
-	return core.NewAttemptToken(s.opts.Incarnation, n)
+	n := s.token
+	s.token += s.opts.TokenStep
+	if s.token < n {
+		// Tokens stay congruent to the shard's index when the counter wraps.
+		s.token = s.opts.FirstToken
+	}
+	return core.NewAttemptToken(s.opts.Source, n)
 }
 
 // sendAttempt sends a request that has passed all checks.
 func (s *Shard) sendAttempt(o *owner, r *request) {
-	a := &attempt{token: s.nextToken(), o: o, r: r, addr: o.view.Target.Addr, sentAt: s.now}
+	a := &attempt{token: s.nextToken(), number: uint8(r.retries), o: o, r: r, addr: o.view.Target.Addr, sentAt: s.now}
+	if r.renewal {
+		a.number = core.RenewalAttempt
+	}
 	s.attempts[a.token] = a
 	o.flights = append(o.flights, a)
 	o.inFlight++
@@ -51,6 +59,7 @@
 		Addr:      a.addr,
 		Kind:      core.SendRequest,
 		Token:     a.token,
+		Attempt:   a.number,
 		Request:   r.req,
 		Remaining: r.deadline - s.now,
 	})
@@ -62,11 +71,11 @@
 		return
 	}
 	a.freeAt = s.now + cancelGrace
-	s.sendCancel(a.o, a.token, a.addr, &a.r.req)
+	s.sendCancel(a.o, a.token, a.number, a.addr, &a.r.req)
 }
 
 // sendCancel withdraws a token at the target, unless the target gets no packets any more.
-func (s *Shard) sendCancel(o *owner, token core.AttemptToken, addr netip.AddrPort, r *core.Request) {
+func (s *Shard) sendCancel(o *owner, token core.AttemptToken, number uint8, addr netip.AddrPort, r *core.Request) {
 	v := o.view
 	if v == nil || o.evicted(s.now) || s.now < v.NotBefore || v.Target.Service != r.Flow.Service {
 		return
@@ -77,6 +86,7 @@
 		Addr:    addr,
 		Kind:    core.SendCancel,
 		Token:   token,
+		Attempt: number,
 		Request: *r,
 	})
 }
@@ -177,7 +187,31 @@
 		s.refuseRequest(o, r, core.ReasonShed)
 		return
 	}
-	s.retry(o, r)
+	if !s.retryElsewhere(o, r) {
+		s.retry(o, r)
+	}
+}
+
+// retryElsewhere sends an idempotent request that was shed to another target. Requests that belong
+// to a feed or an upload stay on their target. It reports false when the request has to stay.
+func (s *Shard) retryElsewhere(o *owner, r *request) bool {
+	stays := !r.req.Idempotent || r.req.Sticky || r.once || r.req.Class == core.ClassFeed
+	if stays || r.req.Class == core.ClassUpload || r.req.Method != core.MethodOther {
+		return false
+	}
+	if s.owners[o.id] != o || o.feeds.has(r.req.Flow) {
+		return false
+	}
+	target := s.choose(o, r.req.Flow, []core.TargetID{o.id})
+	if target == 0 || s.holderOf(target) == "" {
+		return false
+	}
+	s.finish(o, r)
+	f := r.forward(s)
+	f.Target = target
+	f.Once = true
+	s.dispatch(f)
+	return true
 }
 
 // mayRetry reports whether the retry budget and the request's deadline allow another attempt, and
--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -55,7 +55,6 @@
 		InFlight:       uint16(o.inFlight),
 		QuarantineLeft: max(o.quarantineUntil-s.now, 0),
 		HoldLeft:       max(o.formerUntil-s.now, 0),
-		IdempotentLeft: max(o.idempotentFrom-s.now, 0),
 		RebuildLeft:    max(o.rebuildUntil-s.now, 0),
 	}
 	if o.view == nil {
@@ -110,10 +109,10 @@
 
 func (w *chunkWriter) writeFlows() {
 	// A registration in flight stays here; the new holder registers it again for later messages.
-	opening := map[core.FlowKey]*feed{}
+	opening := newFeedSet()
 	for _, a := range w.o.flights {
-		if a.feed != nil && a.r.state == reqSent {
-			opening[a.r.req.Flow] = a.feed
+		if a.feed != nil && a.r.state == reqSent && w.o.feeds.get(feedKeyOf(&a.feed.req)) == nil {
+			opening.put(a.feed)
 		}
 	}
 	w.o.flows.all(func(e *flowEntry) {
@@ -121,22 +120,30 @@
 		f.Unsettled = max(w.o.unsure.m[e.key], w.o.moved.m[e.key]) - w.s.now
 		f.Unsettled = max(f.Unsettled, 0)
 		f.Doubtful = w.o.doubts[e.key] != nil
-		size := flowBytes
-		fd := w.o.feeds.m[e.key]
-		if fd == nil {
-			fd = opening[e.key]
+		feeds := slices.Concat(w.o.feeds.flows[e.key], opening.flows[e.key])
+		if e.target != w.o.id || len(feeds) == 0 {
+			w.writeFlow(f, nil)
+			return
 		}
-		if fd != nil && e.target == w.o.id {
-			r := fd.req
-			f.Feed = &r
-			f.FeedToken = fd.token
-			size += feedBytes + len(r.Payload)
+		for _, fd := range feeds {
+			w.writeFlow(f, fd)
 		}
-		w.room(size)
-		w.chunk.Flows = append(w.chunk.Flows, f)
 	})
 }
 
+// writeFlow writes a flow, once for each of its feeds.
+func (w *chunkWriter) writeFlow(f core.FlowState, fd *feed) {
+	size := flowBytes
+	if fd != nil {
+		r := fd.req
+		f.Feed = &r
+		f.FeedToken = fd.token
+		size += feedBytes + len(r.Payload)
+	}
+	w.room(size)
+	w.chunk.Flows = append(w.chunk.Flows, f)
+}
+
 func (w *chunkWriter) writeRecords() {
 	for _, a := range w.o.flights {
 		left := max(a.r.deadline-w.s.now, 0) + cancelGrace
@@ -236,7 +243,6 @@
 	for _, o := range s.ordered {
 		if o.handover != nil && o.handover.to == peer {
 			o.quarantineUntil = max(o.quarantineUntil, s.now+core.RequestLifetime)
-			o.idempotentFrom = max(o.idempotentFrom, s.now+core.RequestLifetime)
 			s.resumeHolding(o)
 		}
 	}
@@ -397,9 +403,8 @@
 	o.ramp.boot = b.Boot
 	o.quarantineUntil = s.now + b.QuarantineLeft
 	o.formerUntil = s.now + b.HoldLeft
+	o.formerCold = b.Cold
 	o.rebuildUntil = s.now + b.RebuildLeft
-	// Idempotent requests have no records, and refusals of them may cross repetitions.
-	o.idempotentFrom = s.now + max(b.IdempotentLeft, core.RequestLifetime)
 	for _, c := range in.chunks {
 		s.receiveChunk(o, c)
 	}
--- a/core/traffic/helpers_test.go
+++ b/core/traffic/helpers_test.go
@@ -64,7 +64,7 @@
 	for i := range vms {
 		name := core.VMName(rune('a' + i))
 		f.names = append(f.names, name)
-		f.vms[name] = New(Options{Self: name, Incarnation: core.Incarnation(i + 1), TokenStep: 1})
+		f.vms[name] = New(Options{Self: name, Source: core.AttemptSource(i + 1), TokenStep: 1})
 	}
 	for i := range targets {
 		f.addTarget(core.TargetID(i+1), f.names[i%vms])
@@ -113,7 +113,7 @@
 		s.Targets[id] = &c
 	}
 	for _, p := range f.names {
-		if p != name {
+		if p != name && !f.cut[p] {
 			s.Peers = append(s.Peers, p)
 		}
 	}
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -12,18 +12,21 @@
 // entry, or nil when the request went elsewhere, waits or was refused.
 func (s *Shard) locate(o *owner, f *core.ForwardRequest) *flowEntry {
 	flow := f.Request.Flow
+	if f.Request.Method == core.MethodCancel {
+		if len(f.Trail) > 0 {
+			s.passOn(f, true)
+		}
+		return nil
+	}
 	if f.Known && s.acceptsKnown(o, f) {
 		if o.full() && s.now >= o.rebuildUntil {
 			return s.place(o, f)
 		}
 		o.setFlow(flow, o.id, s.now)
-		return o.flows.get(&flow)
-	}
-	if f.Request.Method == core.MethodCancel {
-		if len(f.Trail) > 0 {
-			s.passOn(f, true)
+		if !f.Cleared {
+			s.doubtOthers(o, f)
 		}
-		return nil
+		return o.flows.get(&flow)
 	}
 	if f.Known {
 		// The note is stale: search as if the request had just arrived.
@@ -90,9 +93,15 @@
 // place chooses the target of a new flow.
 func (s *Shard) place(o *owner, f *core.ForwardRequest) *flowEntry {
 	flow := f.Request.Flow
-	target := s.choose(o, flow, f.Asked)
+	target := o.id
+	if !s.keepsLost(o, flow) {
+		target = s.choose(o, flow, f.Asked)
+	}
 	if target == 0 {
-		s.refuseRequest(o, s.newRequest(o, f), core.ReasonNoTarget)
+		// The flow may be placed elsewhere soon, where nobody knows of this refusal.
+		r := s.newRequest(o, f)
+		r.cleared = false
+		s.refuseRequest(o, r, core.ReasonNoTarget)
 		return nil
 	}
 	o.setFlow(flow, target, s.now)
@@ -108,10 +117,21 @@
 	return o.flows.get(&flow)
 }
 
+// keepsLost reports whether an unknown flow may be one that the target's lost former holder had
+// placed here. Such a flow stays on its primary: a new flow in its place costs some balance, while
+// an old one that is placed by load breaks.
+func (s *Shard) keepsLost(o *owner, flow core.FlowKey) bool {
+	if s.now >= o.rebuildUntil || !s.accepts(o) || o.full() {
+		return false
+	}
+	c := s.candidates(flow)
+	return len(c) > 0 && c[len(c)-1] == o.id
+}
+
 // redirect forwards a request of a flow that this owner placed on another target.
 func (s *Shard) redirect(o *owner, target core.TargetID, f *core.ForwardRequest) {
 	flow := f.Request.Flow
-	sure := !f.Unreached && s.now >= o.quarantineUntil && !o.unsure.has(flow, s.now)
+	sure := !f.Unreached && s.vouches(o) && !o.unsure.has(flow, s.now) && o.doubts[flow] == nil
 	moved := o.moved.has(flow, s.now)
 	if !moved {
 		s.send(f.Ingress, &core.FlowLearned{Flow: flow, Target: target})
@@ -150,6 +170,10 @@
 
 // moveRequest sends a waiting request to the flow's new target.
 func (s *Shard) moveRequest(o *owner, r *request) {
+	if r.once {
+		s.refuseRequest(o, r, core.ReasonTargetLost)
+		return
+	}
 	s.finish(o, r)
 	delete(o.records.m, r.key)
 	s.move(o, r.forward(s))
@@ -163,6 +187,7 @@
 		Cleared:    r.cleared,
 		Unreached:  !r.cleared,
 		Renewal:    r.renewal,
+		Once:       r.once,
 		Ingress:    r.ingress,
 		Hops:       2,
 		Generation: s.snap.Config.Generation,
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -37,6 +37,8 @@
 	cleared bool
 	// renewal is true for the registration of a feed by this VM itself.
 	renewal bool
+	// once is true for a request of a flow on another target.
+	once bool
 	// cancelled is true when the caller withdrew the request.
 	cancelled bool
 	retries   int
@@ -67,6 +69,10 @@
 		s.holdBack(o, f)
 		return
 	}
+	if f.Once {
+		s.admit(o, f)
+		return
+	}
 	e := o.flows.get(&r.Flow)
 	if e == nil {
 		e = s.locate(o, f)
@@ -113,14 +119,6 @@
 		s.event(core.EventDuplicateAbsorbed, o.id)
 		return true
 	}
-	if r.Idempotent {
-		m, ok := s.marks.refusalOf(key, s.now)
-		if ok {
-			s.event(core.EventDuplicateAbsorbed, o.id)
-			s.repeatRefusal(f, m.reason, core.NotRun, m.comeBackAt)
-		}
-		return ok
-	}
 	rec := o.records.get(key)
 	if rec == nil {
 		return false
@@ -136,16 +134,31 @@
 
 // newRequest returns the state of a request that has reached its owner.
 func (s *Shard) newRequest(o *owner, f *core.ForwardRequest) *request {
-	sure := f.Cleared || f.Known && !o.unsure.has(f.Request.Flow, s.now)
+	sure := f.Cleared || f.Known
+	if o.unsure.has(f.Request.Flow, s.now) {
+		// Records from before the flow came here may be at any of its candidates.
+		sure = f.Cleared && (f.Known || s.askedAll(o, f))
+	}
 	return &request{
 		key:      keyOf(&f.Request),
 		req:      f.Request,
 		ingress:  f.Ingress,
 		arrived:  s.now,
 		deadline: s.now + s.remaining(f),
-		cleared:  sure && !f.Unreached,
+		cleared:  sure && !f.Unreached && o.doubts[f.Request.Flow] == nil,
 		renewal:  f.Renewal,
+		once:     f.Once,
+	}
+}
+
+// askedAll reports whether a request has visited all other candidates of its flow.
+func (s *Shard) askedAll(o *owner, f *core.ForwardRequest) bool {
+	for _, id := range s.candidates(f.Request.Flow) {
+		if id != o.id && !slices.Contains(f.Asked, id) {
+			return false
+		}
 	}
+	return true
 }
 
 // admit decides whether a request of a flow on this target is queued or refused.
@@ -160,7 +173,7 @@
 		return
 	}
 	if r.req.Method == core.MethodUnsubscribe {
-		s.endFeed(o, r.req.Flow)
+		s.unsubscribe(o, &r.req)
 	}
 	o.active[r.key] = r
 	o.live = append(o.live, r)
@@ -220,22 +233,14 @@
 	}
 	delete(o.active, r.key)
 	o.live = slices.DeleteFunc(o.live, func(x *request) bool { return x == r })
-	if r.req.Idempotent && (r.ran || r.unresolved > 0) {
-		s.marks.markRan(r.key, s.now)
-	}
 }
 
 // cancelRequest withdraws the request or the feed with the given id. It reports whether it is here.
 func (s *Shard) cancelRequest(o *owner, key reqKey) bool {
-	if fd := o.feeds.m[key.flow]; fd != nil && fd.req.ID == key.id {
-		s.endFeed(o, key.flow)
-		if o.active[key] == nil {
-			return true
-		}
-	}
+	ended := s.cancelFeed(o, key)
 	r := o.active[key]
 	if r == nil {
-		return false
+		return ended
 	}
 	if r.state != reqSent {
 		s.refuseRequest(o, r, core.ReasonCancelled)
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -14,8 +14,9 @@
 
 // Options configures a shard.
 type Options struct {
-	Self        core.VMName
-	Incarnation core.Incarnation
+	Self core.VMName
+	// Source distinguishes the attempts of this process from those of all others.
+	Source core.AttemptSource
 	// FirstToken and TokenStep keep the attempt tokens of the shards of one VM apart.
 	FirstToken, TokenStep uint32
 	// Seed makes jitter reproducible.
@@ -36,10 +37,12 @@
 	running bool
 	// jumped is true while the first input after a pause of the process is handled; lapsed is true
 	// from then until the next snapshot.
-	jumped  bool
-	lapsed  bool
-	stopped bool
-	drained bool
+	jumped bool
+	// discardUntil is the time until which requests may come from queues that filled in a pause.
+	discardUntil time.Duration
+	lapsed       bool
+	stopped      bool
+	drained      bool
 
 	notes    flowTable
 	owners   map[core.TargetID]*owner
@@ -48,12 +51,12 @@
 	parked   []parkedRequest
 	down     map[core.VMName]bool
 	attempts map[core.AttemptToken]*attempt
-	counter  uint32
+	// token is the lower half of the next attempt's token.
+	token uint32
 	// retryFund is the number of retries that the retry budget allows now.
 	retryFund float64
 	feeds     map[core.AttemptToken]*feed
 	oldFeeds  []oldFeed
-	marks     marks
 	backups   map[core.TargetID]*backupCopy
 	duties    map[core.TargetID]backupDuty
 	watches   watches
@@ -68,6 +71,7 @@
 	opts.TokenStep = max(opts.TokenStep, 1)
 	return &Shard{
 		opts:      opts,
+		token:     opts.FirstToken,
 		sets:      map[core.ServiceID]*serviceSets{},
 		inherited: map[core.ServiceID][]core.FormerSet{},
 		notes:     newFlowTable(opts.Seed),
@@ -76,7 +80,6 @@
 		attempts:  map[core.AttemptToken]*attempt{},
 		retryFund: retryReserve,
 		feeds:     map[core.AttemptToken]*feed{},
-		marks:     newMarks(),
 		backups:   map[core.TargetID]*backupCopy{},
 		duties:    map[core.TargetID]backupDuty{},
 		watches:   newWatches(),
@@ -102,6 +105,7 @@
 	s.running = true
 	if s.jumped {
 		s.lapsed = true
+		s.discardUntil = now + discardAfterPause
 		s.emit(core.Event{Kind: core.EventClockJump, VM: s.opts.Self})
 	}
 	s.now = max(s.now, now)
@@ -112,6 +116,9 @@
 	case core.SnapshotPublished:
 		s.onSnapshot(in.Snapshot)
 	case core.CallerRequest:
+		if s.discards(s.opts.Self) {
+			return
+		}
 		s.onCaller(in.Request)
 	case core.TargetAnswer:
 		s.onAnswer(in)
@@ -134,9 +141,23 @@
 	}
 }
 
+// discards reports whether a request that has just been read may have waited during a pause of this
+// process. Its age is not known then, and records of its other copies may have expired, so it is
+// dropped; its caller repeats it if it is young.
+func (s *Shard) discards(from core.VMName) bool {
+	if s.now >= s.discardUntil {
+		return false
+	}
+	s.emit(core.Event{Kind: core.EventPacketDropped, VM: from})
+	return true
+}
+
 func (s *Shard) onMessage(from core.VMName, m core.Message) {
 	switch m := m.(type) {
 	case *core.ForwardRequest:
+		if from != s.opts.Self && s.discards(from) {
+			return
+		}
 		s.onForward(m)
 	case *core.FlowLearned:
 		s.notes.put(m.Flow, m.Target, s.now)
@@ -163,6 +184,10 @@
 
 // onSnapshot installs a snapshot and reconsiders everything that waits for one.
 func (s *Shard) onSnapshot(snap *core.Snapshot) {
+	if snap.Config == nil {
+		// A VM that has just started knows peers before it knows the configuration.
+		return
+	}
 	// A snapshot that arrives as the first input after a pause may be older than the pause.
 	s.lapsed = s.jumped
 	s.snap = snap
@@ -211,7 +236,7 @@
 	s.expireBackups()
 	s.expireIncoming()
 	s.watches.expire(s.now)
-	s.marks.expire(s.now)
+	s.noteHolders()
 	s.sweepNotes()
 	s.pumpAll()
 }
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,9 +16,12 @@
 // the target set, and checks what targets run and callers are told.
 type world struct {
 	*fleet
-	t     *rapid.T
+	rng   *rand.Rand
 	steps int
-	// runs counts how often targets ran a posting, notRun the callers that were told it did not.
+	// faults is the number of steps per fault, loss the number of packets per lost one.
+	faults, loss int
+	// runs counts how often targets ran a posting (1 for a read), notRun how often callers were told
+	// that they did not.
 	runs     map[reqKey]int
 	notRun   map[reqKey]int
 	answered map[reqKey]bool
@@ -29,7 +33,7 @@
 	authUntil  map[core.VMName]time.Duration
 	isolated   core.VMName
 	rejoinAt   int
-	incarnates core.Incarnation
+	incarnates core.AttemptSource
 	failure    string
 }
 
@@ -45,9 +49,12 @@
 }
 
 func newWorld(t *rapid.T, tb testing.TB) *world {
-	w := &world{t: t, fleet: newFleet(tb, 3, 4), runs: map[reqKey]int{}, notRun: map[reqKey]int{},
+	seed := rapid.Uint64().Draw(t, "seed")
+	w := &world{rng: rand.New(rand.NewPCG(seed, 0)), fleet: newFleet(tb, 3, 4), runs: map[reqKey]int{}, notRun: map[reqKey]int{},
 		answered: map[reqKey]bool{}, source: map[core.FlowKey]core.VMName{},
 		running: map[core.AttemptToken]bool{}, authUntil: map[core.VMName]time.Duration{}, incarnates: 3}
+	w.faults = []int{15, 60, 200}[w.draw(3)]
+	w.loss = []int{6, 20, 1000}[w.draw(3)]
 	w.hold = func(core.VMName, core.Message) bool { return true }
 	for id := range w.views {
 		w.setBackup(id)
@@ -57,7 +64,9 @@
 	return w
 }
 
-func (w *world) draw(n int, name string) int { return rapid.IntRange(0, n-1).Draw(w.t, name) }
+// draw returns a number below n. Numbers drawn by rapid itself favour small values, which made
+// nearly all steps faults.
+func (w *world) draw(n int) int { return w.rng.IntN(n) }
 
 func (w *world) after(steps int, do func()) { w.later = append(w.later, event{w.steps + steps, do}) }
 
@@ -83,7 +92,10 @@
 		}
 		e.do()
 	}
-	w.transfer()
+	// A link takes less than a step in most cases: a backup's confirmation has to arrive in 100 ms.
+	for range 3 {
+		w.transfer()
+	}
 	for _, n := range w.names {
 		w.in(n, core.Tick{})
 	}
@@ -112,7 +124,7 @@
 		if m.from == w.isolated || m.To == w.isolated {
 			continue
 		}
-		if late[link] || w.draw(5, "late") == 0 {
+		if late[link] || w.draw(5) == 0 {
 			late[link] = true
 			w.held = append(w.held, m)
 			continue
@@ -144,32 +156,33 @@
 	for _, r := range refusals {
 		k := reqKey{r.Flow, r.ID}
 		w.answered[k] = true
-		if r.Run == core.NotRun {
-			w.notRun[k]++
+		if r.Run != core.NotRun {
+			continue
 		}
+		w.notRun[k]++
 	}
 	for k, n := range w.runs {
 		if n > 1 {
 			w.failure = "a posting ran twice"
 		}
 		if w.notRun[k] > 0 {
-			w.failure = "a posting that was called not run ran"
+			w.failure = "a request that was called not run ran"
 		}
 	}
 }
 
 // toTarget lets a packet reach its target late or never; the target runs, sheds or withdraws.
 func (w *world) toTarget(s core.SendTarget) {
-	if w.draw(8, "lost") == 0 {
+	if w.draw(w.loss) == 0 {
 		return
 	}
 	vm := core.VMName("")
 	for _, n := range w.names {
-		if core.AttemptToken(w.vms[n].opts.Incarnation) == s.Token>>32 {
+		if core.AttemptToken(w.vms[n].opts.Source) == s.Token>>32 {
 			vm = n
 		}
 	}
-	w.after(1+w.draw(4, "delay"), func() {
+	w.after(1+w.draw(4), func() {
 		w.source[s.Request.Flow] = vm
 		if s.Kind == core.SendCancel {
 			if w.running[s.Token] {
@@ -178,18 +191,20 @@
 			}
 			return
 		}
-		if w.draw(8, "shed") == 0 {
+		if w.draw(8) == 0 {
 			w.fromTarget(s, core.AnswerShed)
 			return
 		}
 		w.running[s.Token] = true
-		w.after(w.draw(12, "work"), func() {
+		w.after(w.draw(12), func() {
 			if !w.running[s.Token] {
 				return
 			}
 			delete(w.running, s.Token)
-			if !s.Request.Idempotent {
-				w.runs[keyOf(&s.Request)]++
+			w.runs[keyOf(&s.Request)]++
+			if s.Request.Idempotent {
+				// Reads may run more than once.
+				w.runs[keyOf(&s.Request)] = 1
 			}
 			w.fromTarget(s, core.AnswerOK)
 		})
@@ -197,11 +212,11 @@
 }
 
 func (w *world) fromTarget(s core.SendTarget, status core.AnswerStatus) {
-	if w.draw(8, "answer lost") == 0 {
+	if w.draw(w.loss) == 0 {
 		return
 	}
 	a := answerTo(s, status, fmt.Sprint(s.Request.Flow.Port, s.Request.ID.Lo))
-	w.after(w.draw(4, "answer delay"), func() {
+	w.after(w.draw(4), func() {
 		vm := w.source[s.Request.Flow]
 		if w.vms[vm] != nil {
 			w.in(vm, a)
@@ -211,36 +226,41 @@
 
 // ask sends a new request or repeats one that has no answer, through any VM and perhaps late.
 func (w *world) ask() {
-	if n := len(w.asked); n > 0 && w.draw(2, "repeat") == 0 {
-		a := w.asked[w.draw(n, "which")]
+	if n := len(w.asked); n > 0 && w.draw(2) == 0 {
+		a := w.asked[n-1-w.draw(min(n, 20))]
 		if w.now-a.first < core.MaxDeadline && !w.answered[keyOf(&a.r)] {
-			w.packet(a.r, a.first)
+			w.packet(a.r)
 		}
 		return
 	}
 	r := posting(0, len(w.asked)+1)
-	if w.draw(3, "read") == 0 {
+	if w.draw(3) == 0 {
 		r.Idempotent = true
 		r.Class = core.ClassRead
 	}
-	r.Flow.Port = uint16(w.draw(6, "flow"))
+	r.Flow.Port = uint16(w.draw(6))
 	r.Deadline = 4 * time.Second
 	w.asked = append(w.asked, asked{r, w.now})
-	w.packet(r, w.now)
+	w.packet(r)
 }
 
-func (w *world) packet(r core.Request, first time.Duration) {
-	for range 1 + w.draw(2, "copies") {
-		vm := w.names[w.draw(len(w.names), "ingress")]
-		w.after(w.draw(3, "late")*w.draw(20, "latency")/2, func() { w.request(vm, r) })
+// packet sends up to three copies of a request, some of them late, to any VMs.
+func (w *world) packet(r core.Request) {
+	for range 1 + w.draw(3) {
+		vm := w.names[w.draw(len(w.names))]
+		late := w.draw(2)
+		if w.draw(4) == 0 {
+			late = w.draw(int(core.PacketLife / step))
+		}
+		w.after(late, func() { w.request(vm, r) })
 	}
 }
 
 // handOver releases a target to another VM.
 func (w *world) handOver() {
-	id := core.TargetID(1 + w.draw(4, "target"))
+	id := core.TargetID(1 + w.draw(4))
 	v := w.views[id]
-	to := w.names[w.draw(3, "to")]
+	to := w.names[w.draw(3)]
 	if to != v.Holder && v.Holder != w.isolated && to != w.isolated {
 		w.in(v.Holder, core.Release{Target: id, To: to, Number: v.Number + 1})
 	}
@@ -248,12 +268,12 @@
 
 // crash replaces a VM by an empty one. The backups take its targets over.
 func (w *world) crash() {
-	n := w.names[w.draw(3, "vm")]
-	if w.isolated != "" {
+	n := w.names[w.draw(3)]
+	if w.isolated != "" || w.handingOver() {
 		return
 	}
 	w.incarnates++
-	w.vms[n] = New(Options{Self: n, Incarnation: w.incarnates, TokenStep: 1})
+	w.vms[n] = New(Options{Self: n, Source: w.incarnates, TokenStep: 1})
 	held := w.held
 	w.held = nil
 	for _, m := range held {
@@ -271,14 +291,29 @@
 	w.publishAll()
 }
 
+// handingOver reports whether a handover is not known to control yet. Its receiver may hold the
+// target when the sender dies, which control has to take into account before it orders a takeover.
+func (w *world) handingOver() bool {
+	for id, v := range w.views {
+		o := w.vms[v.Holder].owners[id]
+		if o == nil || o.handover != nil || o.number != v.Number {
+			return true
+		}
+	}
+	return false
+}
+
 // isolate cuts a VM off from its peers and control, but not from callers and targets.
 func (w *world) isolate() {
 	if w.isolated != "" {
 		return
 	}
-	n := w.names[w.draw(3, "vm")]
+	if w.handingOver() {
+		return
+	}
+	n := w.names[w.draw(3)]
 	w.isolated = n
-	w.rejoinAt = w.steps + 60 + w.draw(200, "isolation")
+	w.rejoinAt = w.steps + 60 + w.draw(400)
 	w.after(40, func() { w.takeOver(n, w.authUntil[n], w.now) })
 }
 
@@ -311,7 +346,7 @@
 
 // changeSet lets a target drain or come back.
 func (w *world) changeSet() {
-	id := core.TargetID(1 + w.draw(4, "drain"))
+	id := core.TargetID(1 + w.draw(4))
 	w.views[id].Leaving = !w.views[id].Leaving
 	var ids []core.TargetID
 	for i := core.TargetID(1); i <= 4; i++ {
@@ -330,19 +365,11 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, t)
 		for range 600 {
-			switch w.draw(60, "action") {
-			case 0:
-				w.handOver()
-			case 1:
-				w.crash()
-			case 2:
-				w.isolate()
-			case 3:
-				w.changeSet()
-			default:
-				if w.draw(3, "ask") == 0 {
-					w.ask()
-				}
+			if w.draw(w.faults) == 0 {
+				[]func(){w.handOver, w.crash, w.isolate, w.changeSet}[w.draw(4)]()
+			}
+			if w.draw(2) == 0 {
+				w.ask()
 			}
 			if w.isolated != "" && w.steps >= w.rejoinAt {
 				w.rejoin()
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -27,14 +27,15 @@
 // New returns a VM without configuration.
 func New(opts Options) *VM {
 	n := max(opts.Shards, 1)
+	opts.Control.Shards = n
 	v := &VM{self: opts.Control.Self, control: control.New(opts.Control)}
 	for i := range n {
 		v.shards = append(v.shards, traffic.New(traffic.Options{
-			Self:        opts.Control.Self,
-			Incarnation: opts.Control.Incarnation,
-			FirstToken:  uint32(i),
-			TokenStep:   uint32(n),
-			Seed:        opts.Control.Seed + uint64(i),
+			Self:       opts.Control.Self,
+			Source:     core.NewAttemptSource(opts.Control.Self, opts.Control.Incarnation),
+			FirstToken: uint32(i),
+			TokenStep:  uint32(n),
+			Seed:       opts.Control.Seed + uint64(i),
 		}))
 	}
 	return v
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -30,9 +30,11 @@
 	issued  uint32
 	nextMID uint16
 	waiting map[uint32]*exchange
-	// lastTarget and lastZone are where the flow is, as far as answers told.
+	// lastTarget and lastZone are where the flow is, as far as answers told; lastHeard is when the
+	// target's last answer came.
 	lastTarget, lastZone string
-	refused              []string
+	lastHeard            time.Time
+	posted, refused      []string
 	posts, uploads       int
 }
 
@@ -44,8 +46,8 @@
 	messages chan message.Message
 }
 
-// maxRefused bounds the keys that Refused returns.
-const maxRefused = 100_000
+// maxKeys bounds the keys of postings that a caller remembers, per kind.
+const maxKeys = 100_000
 
 // Start opens a caller's socket.
 func Start(opts Options) (*Caller, error) {
