bench: describe broken promises; follow the new attempt tokens

A miss could only be looked into by adding prints. Messages of a feed at the fake target now carry the id of the registration: without it, a message that overtook the delayed first answer counted as a wrong answer.

--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -27,8 +27,10 @@
 type Baseline struct {
 	opts BaselineOptions
 	vm   control.Options
-	now  time.Duration
-	out  []core.Action
+	// source distinguishes the attempts of this process from those of all others.
+	source core.AttemptSource
+	now    time.Duration
+	out    []core.Action
 
 	config   *core.Config
 	sets     map[core.ServiceID]*activeSet
@@ -58,6 +60,7 @@
 func NewBaseline(opts BaselineOptions, vm control.Options) *Baseline {
 	return &Baseline{
 		opts: opts, vm: vm, polledAt: -pollInterval,
+		source:   core.NewAttemptSource(vm.Self, vm.Incarnation),
 		vms:      []core.VMName{vm.Self},
 		links:    map[core.VMName]bool{},
 		table:    map[core.FlowKey]core.TargetID{},
--- a/internal/bench/baseline_request.go
+++ b/internal/bench/baseline_request.go
@@ -121,7 +121,7 @@
 
 func (b *Baseline) send(k *record, t *core.Target, w *targetWork) {
 	b.counter++
-	k.token = core.NewAttemptToken(b.vm.Incarnation, b.counter)
+	k.token = core.NewAttemptToken(b.source, b.counter)
 	k.state = stateSent
 	w.inFlight++
 	b.attempts[k.token] = k
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -62,13 +62,24 @@
 	return names
 }
 
-// Measure measures the figure, group or table with the given name, or everything when it is empty.
-func Measure(seed uint64, only string) (*Report, error) {
+// Options selects what to measure.
+type Options struct {
+	// Seed is the seed of all scenarios.
+	Seed uint64
+	// Only names one figure, group or table; empty means everything.
+	Only string
+	// Violations is the number of broken promises to describe per scenario; default 0.
+	Violations int
+}
+
+// Measure measures what the options select. It returns an error when a measurement could not run.
+func Measure(o Options) (*Report, error) {
+	only := o.Only
 	if only != "" && !slices.Contains(Names(), only) {
 		return nil, fmt.Errorf("nothing is called %q; names are %v", only, Names())
 	}
-	e := NewEnv(seed)
-	r := &Report{Seed: seed}
+	e := NewEnv(o.Seed)
+	r := &Report{Seed: o.Seed}
 	for _, g := range Groups() {
 		if only != "" && only != g.Name && !slices.Contains(g.Figures, only) {
 			continue
@@ -96,14 +107,14 @@
 		}
 		r.Comparisons = append(r.Comparisons, list...)
 	}
+	r.Violations = e.Violations(o.Violations)
 	return r, nil
 }
 
 // Run runs the bench command and returns its exit code: 0 when everything was measured, whatever
 // the verdicts, and 1 when a measurement could not run.
 func Run(args []string, stdout, stderr io.Writer) int {
-	var seed uint64
-	var only string
+	var o Options
 	var asJSON bool
 	cmd := &cobra.Command{
 		Use:           "bench",
@@ -112,7 +123,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
-			r, err := Measure(seed, only)
+			r, err := Measure(o)
 			if err != nil {
 				return err
 			}
@@ -122,8 +133,9 @@
 			return r.Text(stdout)
 		},
 	}
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the scenarios")
-	cmd.Flags().StringVar(&only, "only", "", "measure one figure, group or table")
+	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the scenarios")
+	cmd.Flags().StringVar(&o.Only, "only", "", "measure one figure, group or table")
+	cmd.Flags().IntVar(&o.Violations, "violations", 0, "describe at most this many broken promises per scenario")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON document")
 	cmd.SetArgs(args)
 	cmd.SetOut(stdout)
--- a/internal/bench/env.go
+++ b/internal/bench/env.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -56,6 +59,26 @@
 	return s.Run(v, seed), nil
 }
 
+// Violations returns the broken promises of the project's core in all scenarios that ran, at most
+// limit for each.
+func (e *Env) Violations(limit int) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []string
+	for _, key := range slices.SortedFunc(maps.Keys(e.outcomes), func(a, b runKey) int { return strings.Compare(a.scenario, b.scenario) }) {
+		r := e.outcomes[key]
+		if key.variant != Mangoweir.Name || r.outcome == nil {
+			continue
+		}
+		for i, v := range r.outcome.Stats.Violations {
+			if i < limit {
+				list = append(list, key.scenario+": "+strings.TrimSpace(v))
+			}
+		}
+	}
+	return list
+}
+
 // Pair runs a scenario on the project's core and on a baseline.
 func (e *Env) Pair(s Scenario, base Variant) (own, other *Outcome, err error) {
 	if own, err = e.Outcome(s, Mangoweir); err != nil {
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -15,6 +15,8 @@
 	Figures []Figure `json:"figures"`
 	// Comparisons are the tables that compare variants.
 	Comparisons []Comparison `json:"comparisons,omitempty"`
+	// Violations describes broken promises of the project's core.
+	Violations []string `json:"violations,omitempty"`
 }
 
 // JSON writes the report as one JSON document.
@@ -44,7 +46,13 @@
 		}
 		fmt.Fprintln(t)
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintln(w, v)
+	}
+	return nil
 }
 
 func (f Figure) boundText() string {
--- a/internal/bench/scenarios.go
+++ b/internal/bench/scenarios.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -165,8 +166,8 @@
 	next.Service = core.NewServiceID("fotoboek")
 	next.ID = core.NewTargetID("fotoboek", next.Name, "")
 	next.ActiveAfter = core.AddressQuarantine
-	t.w.RemoveTarget(moved.Name)
 	c := t.w.Config()
+	c.Services[0].Targets = slices.DeleteFunc(c.Services[0].Targets, func(x core.Target) bool { return x.ID == moved.ID })
 	c.Services = append(c.Services, core.Service{ID: next.Service, Name: "fotoboek",
 		Contract: t.d.Contract, Addr: coretest.ServiceAddr(2), Targets: []core.Target{next}})
 	t.w.Apply(c)
--- a/internal/coretest/target.go
+++ b/internal/coretest/target.go
@@ -43,6 +43,8 @@
 	vm    core.VMName
 	token core.AttemptToken
 	flow  core.FlowKey
+	// id is the newest registration's, which messages of the feed answer.
+	id core.RequestID
 }
 
 // AddTarget starts a target's process; warm says that it started long ago.
@@ -176,7 +178,7 @@
 		f = &feed{flow: a.Request.Flow}
 		t.feeds[a.Request.Flow] = f
 	}
-	f.vm, f.token = m.info.Name, a.Token
+	f.vm, f.token, f.id = m.info.Name, a.Token, a.Request.ID
 	if fresh {
 		t.notifyLater(f, t.boot)
 	}
@@ -189,7 +191,7 @@
 			return
 		}
 		if m := t.w.vms[f.vm]; !t.Silent && !t.Gone {
-			a := core.SendTarget{Token: f.token, Request: core.Request{Flow: f.flow}}
+			a := core.SendTarget{Token: f.token, Request: core.Request{Flow: f.flow, ID: f.id}}
 			t.answer(m, a, core.AnswerNotification, 0)
 		}
 		t.notifyLater(f, boot)
