--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -214,6 +214,7 @@
 		Moved:      p.GetMoved(),
 		Queried:    p.GetQueried(),
 		Renewal:    p.GetRenewal(),
+		Once:       p.GetOnce(),
 	}
 	return m
 }
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -144,6 +144,7 @@
 		Moved:      m.Moved,
 		Queried:    m.Queried,
 		Renewal:    m.Renewal,
+		Once:       m.Once,
 	}
 	return p
 }
