--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -320,17 +320,11 @@
 
 // forwardHeldBack sends the requests that arrived during the handover to the new holder.
 func (s *Shard) forwardHeldBack(o *owner) {
-	waiting := s.parked
-	s.parked = nil
-	for _, p := range waiting {
-		if p.f.Target != o.id {
-			s.parked = append(s.parked, p)
-			continue
-		}
-		f := *p.f
-		f.Age += s.now - p.since
+	held := s.parked.take(func(p *parkedRequest) bool { return p.f.Target == o.id })
+	for i := range held {
+		f := held[i].resumed(s.now)
 		f.Hops++
-		s.send(o.to, &f)
+		s.send(o.to, f)
 	}
 }
 
--- a/core/traffic/park.go
+++ b/core/traffic/park.go
@@ -13,24 +13,62 @@
 	until time.Duration
 }
 
+// parkKey identifies a parked packet: a withdrawal has the id of its request.
+type parkKey struct {
+	request reqKey
+	method  core.Method
+}
+
+func parkKeyOf(f *core.ForwardRequest) parkKey {
+	return parkKey{keyOf(&f.Request), f.Request.Method}
+}
+
+// parking holds parked requests in the order of arrival.
+type parking struct {
+	list []parkedRequest
+	keys map[parkKey]bool
+}
+
+func newParking() parking { return parking{keys: map[parkKey]bool{}} }
+
+// take removes and returns the requests that match.
+func (t *parking) take(match func(*parkedRequest) bool) []parkedRequest {
+	var taken []parkedRequest
+	t.list = compact(t.list, func(p parkedRequest) bool {
+		if !match(&p) {
+			return true
+		}
+		taken = append(taken, p)
+		delete(t.keys, parkKeyOf(p.f))
+		return false
+	})
+	return taken
+}
+
+// resumed returns a parked request as it goes on now.
+func (p *parkedRequest) resumed(now time.Duration) *core.ForwardRequest {
+	f := *p.f
+	f.Age += now - p.since
+	return &f
+}
+
 // park keeps a request for at most the given time, and never beyond its deadline.
 func (s *Shard) park(f *core.ForwardRequest, wait time.Duration) {
-	for i := range s.parked {
-		p := s.parked[i].f
-		if keyOf(&p.Request) == keyOf(&f.Request) && p.Request.Method == f.Request.Method {
-			s.event(core.EventDuplicateAbsorbed, f.Target)
-			return
-		}
+	key := parkKeyOf(f)
+	if s.parked.keys[key] {
+		s.event(core.EventDuplicateAbsorbed, f.Target)
+		return
 	}
 	left := s.remaining(f)
-	if len(s.parked) >= maxParked || left <= 0 {
+	if len(s.parked.list) >= maxParked || left <= 0 {
 		s.refuseForward(f, core.ReasonOwnerUnreachable)
 		return
 	}
 	if f.Renewal {
 		wait = left
 	}
-	s.parked = append(s.parked, parkedRequest{f, s.now, s.now + min(wait, left)})
+	s.parked.keys[key] = true
+	s.parked.list = append(s.parked.list, parkedRequest{f, s.now, s.now + min(wait, left)})
 }
 
 // remaining returns the time until a forwarded request's deadline.
@@ -54,16 +92,9 @@
 	if s.snap == nil {
 		return
 	}
-	waiting := s.parked
-	s.parked = nil
-	for _, p := range waiting {
-		if !s.canRoute(p.f.Target) {
-			s.parked = append(s.parked, p)
-			continue
-		}
-		f := *p.f
-		f.Age += s.now - p.since
-		s.route(&f)
+	ready := s.parked.take(func(p *parkedRequest) bool { return s.canRoute(p.f.Target) })
+	for i := range ready {
+		s.route(ready[i].resumed(s.now))
 	}
 }
 
@@ -86,19 +117,13 @@
 
 // expireParked gives up waiting: the request goes to its next candidate, or is refused.
 func (s *Shard) expireParked() {
-	waiting := s.parked
-	s.parked = nil
-	for _, p := range waiting {
-		if s.now < p.until {
-			s.parked = append(s.parked, p)
-			continue
-		}
-		f := *p.f
-		f.Age += s.now - p.since
-		if len(f.Trail) > 0 && s.owners[f.Target] == nil && s.remaining(&f) > 0 {
-			s.passOn(&f, false)
+	over := s.parked.take(func(p *parkedRequest) bool { return s.now >= p.until })
+	for i := range over {
+		f := over[i].resumed(s.now)
+		if len(f.Trail) > 0 && s.owners[f.Target] == nil && s.remaining(f) > 0 {
+			s.passOn(f, false)
 			continue
 		}
-		s.refuseForward(&f, core.ReasonOwnerUnreachable)
+		s.refuseForward(f, core.ReasonOwnerUnreachable)
 	}
 }
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -45,7 +45,7 @@
 	owners   map[core.TargetID]*owner
 	ordered  []*owner
 	former   []*owner
-	parked   []parkedRequest
+	parked   parking
 	down     map[core.VMName]bool
 	attempts map[core.AttemptToken]*attempt
 	// token is the lower half of the next attempt's token.
@@ -72,6 +72,7 @@
 		sets:      map[core.ServiceID]*serviceSets{},
 		inherited: map[core.ServiceID][]core.FormerSet{},
 		notes:     newFlowTable(opts.Seed),
+		parked:    newParking(),
 		owners:    map[core.TargetID]*owner{},
 		down:      map[core.VMName]bool{},
 		attempts:  map[core.AttemptToken]*attempt{},
@@ -243,7 +244,7 @@
 	if !leaving || s.drained {
 		return
 	}
-	busy := len(s.ordered) + len(s.former) + len(s.parked) + len(s.attempts) + len(s.queries.waiting)
+	busy := len(s.ordered) + len(s.former) + len(s.parked.list) + len(s.attempts) + len(s.queries.waiting)
 	if busy > 0 {
 		return
 	}
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -406,8 +406,8 @@
 		for _, o := range s.former {
 			t.Logf("target %d: in flight %d, live %d, remote %d, flights %d", o.id, o.inFlight, len(o.live), len(o.remote.m), len(o.flights))
 		}
-		if len(s.attempts)+len(s.parked)+len(s.former)+len(s.queries.waiting) > 0 {
-			t.Fatalf("%s has %d attempts, %d parked requests and %d former owners left", n, len(s.attempts), len(s.parked), len(s.former))
+		if len(s.attempts)+len(s.parked.list)+len(s.former)+len(s.queries.waiting) > 0 {
+			t.Fatalf("%s has %d attempts, %d parked requests and %d former owners left", n, len(s.attempts), len(s.parked.list), len(s.former))
 		}
 		for _, o := range s.ordered {
 			if o.inFlight != 0 || len(o.live) != 0 || o.uploads != 0 {
