--- a/core/control/decision_test.go
+++ b/core/control/decision_test.go
@@ -214,6 +214,26 @@
 	})
 }
 
+// Guards against a cut-off VM that takes all targets over while its last confirmation still holds.
+func TestCutOff(t *testing.T) {
+	for n := range 6 {
+		w := newFleet(uint64(20+n), 6)
+		w.check = func() { w.invariants(t) }
+		v := w.vms[n]
+		w.cutBetween(func(o *vm) bool { return o == v }, false)
+		v.isolated = true
+		w.advance(20 * time.Second)
+		if until := v.snapshot.AuthorityUntil; until > w.now {
+			t.Fatalf("%s has authority until %v though it is cut off", v.name, until)
+		}
+		w.heal()
+		w.advance(15 * time.Second)
+		if wrong := w.settled(); wrong != "" {
+			t.Fatalf("after %s was cut off: %s", v.name, wrong)
+		}
+	}
+}
+
 // idleShare lets d pass and returns the share of time in which a target had no VM with authority, on
 // average over the targets, and the longest such time.
 func (w *world) idleShare(d time.Duration, targets []core.Target) (share float64, longest time.Duration) {
--- a/core/control/property_test.go
+++ b/core/control/property_test.go
@@ -203,7 +203,7 @@
 }
 
 // invariants checks what has to hold at any time.
-func (w *world) invariants(t *rapid.T) {
+func (w *world) invariants(t interface{ Fatalf(string, ...any) }) {
 	owners := map[core.TargetID]*vm{}
 	for _, v := range w.vms {
 		if !v.alive || v.snapshot == nil {
