Prove targets that VMs of other zones may hold

Two more ways to two owners under random faults: a zone's first member took a target as its first holder although a VM of another zone held it, and a VM that did not see its zone go out and return kept targets that others had taken.

VMs of other zones now take targets of a zone without members only once the zone has an empty list, and members that join an empty list are marked as founders (Member.Founder). A VM whose zone returned, or that skipped a generation, proves its targets again. Refusing takeovers while a zone that was taken out is cut off was ruled out, as it would stop the postings of its flows.

--- a/core/control/config.go
+++ b/core/control/config.go
@@ -138,6 +138,7 @@
 	c.config.current = cfg
 	c.config.sum = xxhash.Sum64(cfg.Text)
 	c.installTargets(previous, cfg)
+	c.checkZoneReturn(previous, cfg)
 	for _, z := range cfg.Zones {
 		c.zone(z.Name)
 	}
@@ -152,6 +153,28 @@
 	c.updateHolders()
 }
 
+// checkZoneReturn proves the targets of this VM's zone again when the zone was out of service, or may
+// have been in a generation that this VM did not see: VMs of other zones may hold them.
+func (c *Control) checkZoneReturn(previous, cfg *core.Config) {
+	if previous == nil {
+		return
+	}
+	skipped := cfg.Generation > previous.Generation+1
+	if !skipped && previous.ZoneState(c.opts.Zone) == core.ZoneIn {
+		return
+	}
+	c.targets.all(func(_ core.TargetID, t *target) bool {
+		if t.target.Zone != c.opts.Zone {
+			return true
+		}
+		t.holding.wasForeign = true
+		if t.holding.held {
+			c.prove(t)
+		}
+		return true
+	})
+}
+
 // setLeavingHosts takes the hosts that the platform's list reports as leaving.
 func (c *Control) setLeavingHosts(vms []core.ListedVM) {
 	var leaving []core.ListedVM
--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -27,8 +27,8 @@
 	// dropGrace is the time for which a handover's sender leaves it to the shard to notice that
 	// the receiver holds the target.
 	dropGrace = 1500 * time.Millisecond
-	// foreignAfter is the time after the start before targets of a zone that never had a member
-	// are taken by other zones.
+	// foreignAfter is the time after the start before a VM writes an empty list for a zone that
+	// never had a member. The list tells the zone's first members that others may hold its targets.
 	foreignAfter = 10 * time.Second
 	// deadWithin is the time since the last heartbeat within which a refused connection shows that
 	// the backup knows all records.
@@ -192,6 +192,10 @@
 		h.unheldSince = c.now
 	}
 	h.claim = best
+	h.highest = max(h.highest, best.number)
+	if best.beats(h.former) {
+		h.former = best
+	}
 	c.refreshElectorate(t)
 	desired := c.desired(t)
 	if desired != h.desired {
@@ -265,7 +269,7 @@
 		return false
 	}
 	z := c.zone(name)
-	if z.epoch == 0 && !c.view.foreignTime {
+	if z.epoch == 0 {
 		return false
 	}
 	for _, m := range z.members {
@@ -281,6 +285,15 @@
 	return none
 }
 
+// wide reports whether VMs of other zones may hold the target: they did, or the zone's list was empty
+// before its present members joined.
+func (c *Control) wide(t *target) bool {
+	if t.holding.wasForeign {
+		return true
+	}
+	return slices.ContainsFunc(c.zone(t.target.Zone).members, func(m core.Member) bool { return m.Founder })
+}
+
 // canHold reports whether an elector can be given a target. A later process of a member counts: it
 // becomes holder by handover while the platform is down.
 func (c *Control) canHold(e elector) bool {
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -289,7 +289,7 @@
 		return
 	}
 	wanted := c.wantedMembers(z)
-	if slices.Equal(wanted, z.members) {
+	if slices.Equal(wanted, z.members) && (z.epoch != 0 || !c.declared(z.name)) {
 		z.changeSince = never
 		return
 	}
@@ -304,6 +304,12 @@
 	c.start(o, core.WriteMembers{Zone: z.name, Expect: z.epoch, Members: wanted})
 }
 
+// declared reports whether the configuration names the zone.
+func (c *Control) declared(name core.ZoneName) bool {
+	cfg := c.config.current
+	return cfg != nil && slices.ContainsFunc(cfg.Zones, func(z core.Zone) bool { return z.Name == name })
+}
+
 // turn returns how long this VM leaves a change to others: by its rank, or, in a fleet where only some
 // VMs hear of the change, a time that differs from VM to VM.
 func (c *Control) turn(z *zone) time.Duration {
@@ -325,7 +331,7 @@
 	if z.name == c.opts.Zone {
 		return c.selfMember() || c.deserted(z)
 	}
-	if z.epoch == 0 || !c.selfMember() || c.config.current == nil || c.zoneOut(c.opts.Zone) || c.inMinority() {
+	if z.epoch == 0 && !c.view.foreignTime || !c.selfMember() || c.config.current == nil || c.zoneOut(c.opts.Zone) || c.inMinority() {
 		return false
 	}
 	return !slices.ContainsFunc(z.members, func(m core.Member) bool {
@@ -375,9 +381,10 @@
 			wanted = append(wanted, m)
 		}
 	}
+	founders := z.epoch != 0 && len(wanted) == 0
 	add := func(name core.VMName, inc core.Incarnation, addr netip.AddrPort) {
 		if !slices.ContainsFunc(wanted, func(m core.Member) bool { return m.Name == name }) {
-			wanted = append(wanted, core.Member{Name: name, Incarnation: inc, Addr: addr, Joined: z.epoch + 1})
+			wanted = append(wanted, core.Member{Name: name, Incarnation: inc, Addr: addr, Joined: z.epoch + 1, Founder: founders})
 		}
 	}
 	if z.name == c.opts.Zone {
--- a/core/control/takeover.go
+++ b/core/control/takeover.go
@@ -80,7 +80,7 @@
 // know the list that says so.
 func (c *Control) isFirst(t *target) bool {
 	h := &t.holding
-	if h.highest != 0 || h.foreign || h.wasForeign || len(h.electors) == 0 {
+	if h.highest != 0 || h.foreign || c.wide(t) || len(h.electors) == 0 {
 		return false
 	}
 	if h.electors[0].name != c.opts.Self || t.since == 0 && !c.zone(t.target.Zone).bootstrapped {
@@ -181,7 +181,7 @@
 // settledAt returns the time by which VMs that are no longer electors have lost authority.
 func (c *Control) settledAt(t *target) time.Duration {
 	settled := max(c.zone(t.target.Zone).settledAt, t.holding.settledAt)
-	if t.holding.wasForeign {
+	if c.wide(t) {
 		c.zones.all(func(_ core.ZoneName, z *zone) bool {
 			settled = max(settled, z.settledAt)
 			return true
@@ -223,7 +223,7 @@
 // possibleHolders returns the VMs that may hold a target without this VM knowing it.
 func (c *Control) possibleHolders(t *target) []elector {
 	h := &t.holding
-	if !h.wasForeign {
+	if !c.wide(t) {
 		return h.electors
 	}
 	var list []elector
@@ -265,7 +265,7 @@
 // target nevertheless needs this VM's acknowledgement before it uses authority.
 func (c *Control) agrees(t *target, p *peer) bool {
 	h := &t.holding
-	if h.foreign || h.wasForeign || !p.live() || h.take != nil && h.take.again {
+	if h.foreign || c.wide(t) || !p.live() || h.take != nil && h.take.again {
 		return false
 	}
 	for _, e := range h.electors {
--- a/core/input.go
+++ b/core/input.go
@@ -141,6 +141,9 @@
 	// Joined is the epoch in which the VM was added, as far as the writer could foresee it. It
 	// shows a VM that it was removed and added again.
 	Joined Epoch `json:"joined,omitempty"`
+	// Founder is true when the VM was added to a list without members, while VMs of other zones
+	// may have held the zone's targets.
+	Founder bool `json:"founder,omitempty"`
 }
 
 // VMListRead is a read of the platform's lagging list of VMs.
