--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -91,27 +91,27 @@
 }
 
 // DefaultDuration is the length of the default script.
-const DefaultDuration = 45 * time.Second
+const DefaultDuration = 50 * time.Second
 
 // DefaultScript takes the last zone out and back, replaces an entry VM of the first zone and turns a
 // target of the first service in the first zone cold.
 func DefaultScript(cfg *core.Config) []Event {
 	first, last := cfg.Zones[0].Name, cfg.Zones[len(cfg.Zones)-1].Name
 	return []Event{
-		{8 * time.Second, fmt.Sprintf("zone %s leaves", last), func(ctx context.Context, w *World) error {
+		{15 * time.Second, fmt.Sprintf("zone %s leaves", last), func(ctx context.Context, w *World) error {
 			return w.SetZone(ctx, last, core.ZoneOut)
 		}},
-		{16 * time.Second, "an entry VM is replaced", func(ctx context.Context, w *World) error {
+		{22 * time.Second, "an entry VM is replaced", func(ctx context.Context, w *World) error {
 			names := w.Entries(first)
 			if len(names) == 0 {
 				return fmt.Errorf("demo: zone %s has no entry VM", first)
 			}
 			return w.ReplaceEntry(ctx, names[0])
 		}},
-		{22 * time.Second, fmt.Sprintf("zone %s returns", last), func(ctx context.Context, w *World) error {
+		{29 * time.Second, fmt.Sprintf("zone %s returns", last), func(ctx context.Context, w *World) error {
 			return w.SetZone(ctx, last, core.ZoneIn)
 		}},
-		{28 * time.Second, "a target turns cold", func(_ context.Context, w *World) error {
+		{38 * time.Second, "a target turns cold", func(_ context.Context, w *World) error {
 			for _, t := range cfg.Services[0].Targets {
 				if t.Zone == first {
 					return w.TurnCold(t.Name)
--- a/internal/standin/caller/upload.go
+++ b/internal/standin/caller/upload.go
@@ -29,7 +29,9 @@
 		}
 		c.count(func(s *Stats) { s.UploadRestarts++ })
 	}
-	c.count(func(s *Stats) { s.UploadsFailed++ })
+	if ctx.Err() == nil {
+		c.count(func(s *Stats) { s.UploadsFailed++ })
+	}
 	return false
 }
 
