--- a/core/traffic/handover.go
+++ b/core/traffic/handover.go
@@ -16,6 +16,7 @@
 	number   core.HoldingNumber
 	chunks   uint32
 	lastEnd  time.Duration
+	began    time.Duration
 	outcomes []*core.RequestOutcome
 }
 
@@ -30,10 +31,17 @@
 // onRelease starts to hand a target over.
 func (s *Shard) onRelease(r core.Release) {
 	o := s.owners[r.Target]
-	if o == nil || o.handover != nil || r.To == s.opts.Self || r.Number <= o.number {
+	if o == nil || r.To == s.opts.Self || r.Number <= o.number {
 		return
 	}
-	h := &handoverOut{to: r.To, number: r.Number}
+	if old := o.handover; old != nil {
+		if r.Number <= old.number {
+			return
+		}
+		// Control has given the first receiver up.
+		s.abortHandover(o)
+	}
+	h := &handoverOut{to: r.To, number: r.Number, began: s.now}
 	o.handover = h
 	s.event(core.EventHandoverStarted, o.id)
 	s.send(h.to, s.handoverBegin(o, h))
@@ -240,14 +248,30 @@
 // abortHandovers resumes when the receiver's process is known to be dead. It may have confirmed and
 // started requests before, which leads to a quarantine.
 func (s *Shard) abortHandovers(peer core.VMName) {
-	for _, o := range s.ordered {
+	for _, o := range slices.Clone(s.ordered) {
 		if o.handover != nil && o.handover.to == peer {
-			o.quarantineUntil = max(o.quarantineUntil, s.now+core.RequestLifetime)
-			s.resumeHolding(o)
+			s.abortHandover(o)
 		}
 	}
 }
 
+func (s *Shard) abortHandover(o *owner) {
+	o.quarantineUntil = max(o.quarantineUntil, s.now+core.RequestLifetime)
+	s.resumeHolding(o)
+}
+
+// receiverSuspect reports whether a handover's receiver has been out of reach for handoverWait. Until
+// its fate is known, idempotent requests are served here, unless the target is cold.
+func (s *Shard) receiverSuspect(o *owner) bool {
+	h := o.handover
+	return h != nil && !s.reachable(h.to) && s.now-h.began >= handoverWait && !o.ramp.cold
+}
+
+// heldBack reports whether a request waits for the end of a handover.
+func (s *Shard) heldBack(o *owner, r *core.Request) bool {
+	return o.handover != nil && !(r.Idempotent && s.receiverSuspect(o))
+}
+
 func (s *Shard) resumeHolding(o *owner) {
 	o.handover = nil
 	s.event(core.EventHandoverFailed, o.id)
@@ -409,6 +433,9 @@
 	for _, c := range in.chunks {
 		s.receiveChunk(o, c)
 	}
+	if held := s.owners[o.id]; held != nil {
+		s.keepState(o, held)
+	}
 	delete(s.backups, o.id)
 	s.install(o)
 	s.event(core.EventHandoverDone, o.id)
@@ -416,6 +443,26 @@
 	s.pump(o)
 }
 
+// keepState keeps what this shard knows about a target that it holds already, when another VM hands
+// the target over that held it as well, cut off from this one. The sender's view of flows that this
+// shard served meanwhile is older.
+func (s *Shard) keepState(o, held *owner) {
+	held.flows.all(func(e *flowEntry) { o.setFlow(e.key, e.target, s.now-e.idle(s.now)) })
+	for _, k := range held.records.order.all() {
+		if rec := held.records.get(k); rec != nil {
+			s.setRecord(o, k, *rec)
+		}
+	}
+	for _, k := range held.moved.order.all() {
+		o.moved.put(k, held.moved.m[k])
+	}
+	for _, k := range held.unsure.order.all() {
+		o.unsure.put(k, held.unsure.m[k])
+	}
+	o.quarantineUntil = max(o.quarantineUntil, held.quarantineUntil)
+	o.inheritedUntil = max(o.inheritedUntil, held.inheritedUntil)
+}
+
 func (s *Shard) receiveChunk(o *owner, c *core.HandoverChunk) {
 	for i := range c.Flows {
 		s.receiveFlow(o, &c.Flows[i])
