Measure slopes of the decision core

Cause: docs/CAPACITY.md has to derive the planned size from measured slopes. Ruled out: internal/coretest as the driver; it carries traffic shards and callers, which limits the number of VMs. A lighter driver connects Control instances only.

--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,288 @@
+package capacity
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/control"
+	"github.com/mangoweir/mangoweir/internal/wire"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	linkLatency  = time.Millisecond
+	redialAfter  = 500 * time.Millisecond
+	handoverTime = 5 * time.Millisecond
+	// messageFraming is the length prefix (4), yamux header (12) and TLS record (22) of a message.
+	messageFraming = 4 + 12 + 22
+)
+
+// FleetOptions describes a fleet.
+type FleetOptions struct {
+	Seed     uint64
+	VMs      int
+	Zones    int
+	Targets  int
+	Services int
+	// Loss is the probability that a message between VMs is lost.
+	Loss float64
+	// CrossZone is the one-way latency between zones; default linkLatency.
+	CrossZone time.Duration
+}
+
+// Fleet connects Control instances of one process in virtual time. The traffic shards are replaced
+// by a stub that accepts every takeover and handover at once.
+type Fleet struct {
+	Opts     FleetOptions
+	Platform Platform
+
+	now    time.Duration
+	rng    *rand.Rand
+	seq    uint64
+	events eventHeap
+	vms    []*vm
+	byName map[core.VMName]*vm
+}
+
+// vm is an entry VM with its process.
+type vm struct {
+	info       core.ListedVM
+	control    *control.Control
+	inc        core.Incarnation
+	alive      bool
+	dials      map[core.VMName]bool
+	generation core.Generation
+	messages   uint64
+	bytes      uint64
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// NewFleet starts all VMs of a fleet at slightly different times.
+func NewFleet(opts FleetOptions) *Fleet {
+	opts.Zones = max(opts.Zones, 1)
+	opts.Services = max(opts.Services, 1)
+	if opts.CrossZone == 0 {
+		opts.CrossZone = linkLatency
+	}
+	f := &Fleet{Opts: opts, now: time.Hour, rng: rand.New(rand.NewPCG(opts.Seed, 1)), byName: map[core.VMName]*vm{}}
+	f.Platform.members = map[core.ZoneName]core.MembersRead{}
+	f.Apply()
+	for i := range opts.VMs {
+		f.addVM(i)
+	}
+	for _, v := range f.vms {
+		f.after(time.Duration(f.rng.Int64N(int64(time.Second))), func() { f.Start(v.info.Name) })
+	}
+	return f
+}
+
+// VMName returns the name of the i-th VM.
+func VMName(i int) core.VMName { return core.VMName(fmt.Sprintf("vm-%05d", i)) }
+
+// zoneName returns the name of the i-th zone.
+func zoneName(i int) core.ZoneName { return core.ZoneName(fmt.Sprintf("zone-%02d", i)) }
+
+func (f *Fleet) addVM(i int) {
+	addr := netip.AddrFrom4([4]byte{127, 9, byte(i >> 8), byte(i)})
+	v := &vm{info: core.ListedVM{Name: VMName(i), Zone: zoneName(i % f.Opts.Zones), Addr: netip.AddrPortFrom(addr, 7000)}}
+	f.vms = append(f.vms, v)
+	f.byName[v.info.Name] = v
+	f.Platform.list = append(f.Platform.list, v.info)
+}
+
+// Start starts a new process of a VM.
+func (f *Fleet) Start(name core.VMName) {
+	v := f.byName[name]
+	v.inc++
+	v.alive = true
+	v.dials = map[core.VMName]bool{}
+	v.generation = 0
+	// A VM's settings name the VMs before and after it.
+	n := len(f.vms)
+	i := (int(v.inc) + f.indexOf(v)) % n
+	v.control = control.New(control.Options{
+		Self: name, Zone: v.info.Zone, Addr: v.info.Addr, Incarnation: v.inc, Seed: f.Opts.Seed,
+		Seeds:  []core.ListedVM{f.vms[i].info, f.vms[(i+n-2)%n].info},
+		Decode: f.Platform.decode,
+	})
+	f.tick(v, v.inc)
+}
+
+func (f *Fleet) indexOf(v *vm) int {
+	for i := range f.vms {
+		if f.vms[i] == v {
+			return i
+		}
+	}
+	return -1
+}
+
+// Kill ends the process of a VM; its machine refuses connections.
+func (f *Fleet) Kill(name core.VMName) {
+	v := f.byName[name]
+	v.alive = false
+	for _, other := range f.vms {
+		if other.alive && other.dials[name] {
+			f.dial(other, other.inc, name)
+		}
+	}
+}
+
+// Run lets virtual time pass.
+func (f *Fleet) Run(d time.Duration) {
+	end := f.now + d
+	for len(f.events) > 0 && f.events[0].at <= end {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+func (f *Fleet) after(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.events, event{f.now + d, f.seq, run})
+}
+
+func (f *Fleet) tick(v *vm, inc core.Incarnation) {
+	if !v.alive || v.inc != inc {
+		return
+	}
+	f.input(v, core.Tick{})
+	f.after(tickInterval, func() { f.tick(v, inc) })
+}
+
+// later hands an input to a process unless it has ended by then.
+func (f *Fleet) later(v *vm, d time.Duration, in core.Input) {
+	inc := v.inc
+	f.after(d, func() {
+		if v.alive && v.inc == inc {
+			f.input(v, in)
+		}
+	})
+}
+
+func (f *Fleet) input(v *vm, in core.Input) {
+	for _, a := range v.control.Handle(in, f.now, nil) {
+		f.perform(v, a)
+	}
+}
+
+func (f *Fleet) perform(v *vm, a core.Action) {
+	switch a := a.(type) {
+	case core.SendPeer:
+		f.send(v, a)
+	case core.Dial:
+		v.dials[a.Peer] = true
+		inc := v.inc
+		f.after(linkLatency, func() { f.dial(v, inc, a.Peer) })
+	case core.Hangup:
+		delete(v.dials, a.Peer)
+	case core.ToShard:
+		f.shard(v, a.Input)
+	case core.Event:
+		if a.Kind == core.EventConfigInstalled {
+			v.generation = core.Generation(a.Value)
+		}
+	default:
+		f.call(v, a)
+	}
+}
+
+// send counts and delivers a message.
+func (f *Fleet) send(v *vm, a core.SendPeer) {
+	data, err := wire.Encode(a.Msg, wire.MaxVersion)
+	if err != nil {
+		panic("capacity: control sent a message that cannot be encoded: " + err.Error())
+	}
+	v.messages++
+	v.bytes += uint64(len(data) + messageFraming)
+	to := f.byName[a.To]
+	if to == nil || !to.alive || f.rng.Float64() < f.Opts.Loss {
+		return
+	}
+	f.later(to, f.latency(v, to), core.PeerMessage{From: v.info.Name, Msg: a.Msg})
+}
+
+func (f *Fleet) latency(a, b *vm) time.Duration {
+	if a.info.Zone != b.info.Zone {
+		return f.Opts.CrossZone
+	}
+	return linkLatency
+}
+
+// dial connects a VM with a peer, and repeats a refused attempt.
+func (f *Fleet) dial(v *vm, inc core.Incarnation, peer core.VMName) {
+	to := f.byName[peer]
+	if !v.alive || v.inc != inc || !v.dials[peer] || to == nil {
+		return
+	}
+	if to.alive {
+		f.input(v, core.LinkEvent{Peer: peer, State: core.LinkUp})
+		return
+	}
+	f.input(v, core.LinkEvent{Peer: peer, State: core.LinkDown})
+	f.input(v, core.LinkEvent{Peer: peer, State: core.LinkRefused})
+	f.after(redialAfter, func() { f.dial(v, inc, peer) })
+}
+
+// shard stands in for the traffic shards.
+func (f *Fleet) shard(v *vm, in core.Input) {
+	switch in := in.(type) {
+	case core.TakeOver:
+		f.later(v, 0, holds(in.Target, v.info.Name, in.Number))
+	case core.Release:
+		if to := f.byName[in.To]; to != nil && to.alive {
+			f.later(to, handoverTime, holds(in.Target, in.To, in.Number))
+			f.later(v, 2*handoverTime, holds(in.Target, in.To, in.Number))
+		}
+	}
+}
+
+func holds(t core.TargetID, vm core.VMName, n core.HoldingNumber) core.Input {
+	return control.FromShard{Report: core.HolderChanged{Target: t, Holder: vm, Number: n}}
+}
+
+// InForce reports whether all living VMs have a generation in force.
+func (f *Fleet) InForce(g core.Generation) bool {
+	for _, v := range f.vms {
+		if v.alive && v.generation < g {
+			return false
+		}
+	}
+	return true
+}
+
+// TimeToForce applies a change and returns the time until it is in force on all VMs, or limit.
+func (f *Fleet) TimeToForce(limit time.Duration) time.Duration {
+	const step = 10 * time.Millisecond
+	start := f.now
+	g := f.Apply()
+	for !f.InForce(g) && f.now-start < limit {
+		f.Run(step)
+	}
+	return f.now - start
+}
--- /dev/null
+++ b/internal/capacity/relay_test.go
@@ -0,0 +1,65 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+)
+
+// Bounds of the design page, section 1.5, and the constant cost per daemon of section 4.4.
+const (
+	maxControlBytes  = 5000
+	maxMessageGrowth = 0.20
+	maxTimeToForce   = 2 * time.Second
+	smallFleet       = 8
+	largeFleet       = 200
+)
+
+// relayRun is what TestRelayBounds checks for one fleet.
+type relayRun struct {
+	rates    Rates
+	inForce  time.Duration
+	members  int
+	settling uint64
+}
+
+func runRelay(vms int) relayRun {
+	const warmUp, period = 12 * time.Second, 10 * time.Second
+	f := NewFleet(FleetOptions{Seed: 1, VMs: vms, Targets: 14})
+	f.Run(warmUp)
+	before := f.Platform.members[zoneName(0)].Epoch
+	run := relayRun{rates: f.Measure(period)}
+	list := f.Platform.members[zoneName(0)]
+	run.members, run.settling = len(list.Members), uint64(list.Epoch-before)
+	run.inForce = f.TimeToForce(10 * time.Second)
+	return run
+}
+
+// Guards against control traffic that grows with the fleet, and against a change that reaches some
+// VMs late.
+func TestRelayBounds(t *testing.T) {
+	small, large := runRelay(smallFleet), runRelay(largeFleet)
+	for vms, run := range map[int]relayRun{smallFleet: small, largeFleet: large} {
+		t.Logf("%d VMs: %.0f B/s and %.1f messages/s per VM, in force after %v", vms, run.rates.Bytes, run.rates.Messages, run.inForce)
+		if run.rates.Bytes > maxControlBytes {
+			t.Errorf("%d VMs: %.0f B/s of control traffic per VM, more than %d", vms, run.rates.Bytes, maxControlBytes)
+		}
+		if run.inForce > maxTimeToForce {
+			t.Errorf("%d VMs: a change is in force after %v, more than %v", vms, run.inForce, maxTimeToForce)
+		}
+	}
+	growth := large.rates.Messages/small.rates.Messages - 1
+	t.Run("MessagesConstant", func(t *testing.T) {
+		if growth > maxMessageGrowth || growth < -maxMessageGrowth {
+			t.Errorf("messages per VM change by %.0f%% from %d to %d VMs, more than %.0f%%", 100*growth, smallFleet, largeFleet, 100*maxMessageGrowth)
+		}
+	})
+	// Guards against member lists that lose VMs which are alive: a VM that hears only some peers
+	// must not remove the others.
+	t.Run("MembersStable", func(t *testing.T) {
+		for vms, run := range map[int]relayRun{smallFleet: small, largeFleet: large} {
+			if run.members != vms || run.settling > 0 {
+				t.Errorf("%d VMs, none lost: the member list has %d members and changed %d times in 10 s", vms, run.members, run.settling)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/capacity/series.go
@@ -0,0 +1,55 @@
+package capacity
+
+// Series is a measured cost at several sizes with its fit.
+type Series struct {
+	// Group is the name that selects a measurement; Cost names what was measured.
+	Group string  `json:"group"`
+	Cost  string  `json:"cost"`
+	Unit  string  `json:"unit"`
+	Per   string  `json:"per"`
+	Data  []Point `json:"points"`
+	Fit   Fit     `json:"fit"`
+}
+
+// newSeries returns an empty series.
+func newSeries(group, cost, unit, per string) *Series {
+	return &Series{Group: group, Cost: cost, Unit: unit, Per: per}
+}
+
+func (s *Series) add(x, y float64) { s.Data = append(s.Data, Point{x, y}) }
+
+// Group is a measurement that gives one or more series.
+type Group struct {
+	Name  string
+	About string
+	Run   func(seed uint64) []*Series
+}
+
+// Groups returns all measurements in the order in which they run.
+func Groups() []Group {
+	return []Group{
+		{"vms", "control cost against the VMs of one zone", measureVMs},
+		{"zones", "control cost against the zones, 3 VMs each", measureZones},
+		{"targets", "control cost against the targets of 8 VMs", measureTargets},
+		{"services", "control cost against the services of 8 VMs", measureServices},
+		{"changes", "control cost against configuration changes a minute, 8 VMs", measureChanges},
+		{"losses", "control cost against VMs that fail and restart a minute, 9 VMs", measureLosses},
+		{"force", "time until a change is in force against fleet size and message loss", measureForce},
+		{"single", "processor time of one Control against targets, members and VMs known", measureSingle},
+		{"sizes", "size of messages and values", measureSizes},
+		{"collisions", "32-bit target ids that collide", measureCollisions},
+		{"memory", "memory per flow, target, VM and KB of configuration", measureMemory},
+		{"manifest", "processor time of decoding and installing a manifest", measureManifest},
+		{"packets", "processor time of a traffic shard per packet", measurePackets},
+	}
+}
+
+// Measure runs a group and fits its series.
+func Measure(g Group, seed uint64) []*Series {
+	all := g.Run(seed)
+	for _, s := range all {
+		s.Group = g.Name
+		s.Fit, _ = FitLine(s.Data)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/capacity/single.go
@@ -0,0 +1,165 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/control"
+	"github.com/mangoweir/mangoweir/internal/platform"
+	"github.com/mangoweir/mangoweir/internal/wire"
+)
+
+// measureSingle measures one Control whose peers were heard once. It reaches sizes that a fleet in
+// one process does not.
+func measureSingle(uint64) []*Series {
+	ticks := newSeries("", "CPU of ticks, no targets", "ms/s", "VM known")
+	for _, n := range []int{500, 2000, 5000} {
+		ticks.add(float64(n), tickCost(heardControl(0, 0, n)))
+	}
+	byTarget := newSeries("", "CPU of ticks, 8 members", "ms/s", "target")
+	change := newSeries("", "CPU of a change of one peer's holdings, 8 members", "ms", "target")
+	for _, n := range []int{300, 1500, 3000} {
+		c := heardControl(n, smallFleetVMs, 0)
+		byTarget.add(float64(n), tickCost(c))
+		change.add(float64(n), changeCost(c))
+	}
+	byMember := newSeries("", "CPU of a change of one peer's holdings, 300 targets", "ms", "member of the zone")
+	for _, n := range []int{8, 50, 200, 600} {
+		byMember.add(float64(n), changeCost(heardControl(300, n, 0)))
+	}
+	list := newSeries("", "CPU of a read of the platform's list, 300 targets", "ms", "VM listed")
+	for _, n := range []int{500, 2000, 5000} {
+		list.add(float64(n), listCost(n))
+	}
+	return []*Series{ticks, byTarget, change, byMember, list}
+}
+
+// heardControl returns a Control with targets, members of its zone, and VMs of another zone.
+func heardControl(targets, members, others int) *control.Control {
+	cfg := newConfig(1, FleetOptions{Zones: 1, Services: (targets + 2) / 3, Targets: targets})
+	c := newControl(map[core.Generation]*core.Config{1: cfg}, members)
+	if others > 0 {
+		c.Handle(core.MembersRead{Zone: zoneName(1), Epoch: 1, Members: newMembers(others)}, time.Hour, nil)
+	}
+	for i := range max(members, others) {
+		c.Handle(core.PeerMessage{From: VMName(i), Msg: newHeartbeat(i)}, time.Hour, nil)
+	}
+	c.Handle(core.ManifestRead{Generation: 1, Text: cfg.Text}, time.Hour, nil)
+	return c
+}
+
+// tickCost returns the processor time of ticks in ms per virtual second.
+func tickCost(c *control.Control) float64 {
+	const seconds = 1
+	now := time.Hour + tickInterval
+	for range 2 {
+		c.Handle(core.Tick{}, now, nil)
+	}
+	return bestOf(3, func() {
+		for range seconds * int(time.Second/tickInterval) {
+			now += time.Millisecond
+			c.Handle(core.Tick{}, now, nil)
+		}
+	}) / seconds
+}
+
+// changeCost returns the processor time in ms of a heartbeat that announces another holding.
+func changeCost(c *control.Control) float64 {
+	const changes = 20
+	var seq uint64 = 1
+	now := time.Hour + time.Second/2
+	return bestOf(3, func() {
+		for range changes {
+			seq++
+			h := newHeartbeat(0)
+			h.Seq = seq
+			h.Holdings = []core.Holding{{Target: core.TargetID(seq), Number: 1}}
+			c.Handle(core.PeerMessage{From: VMName(0), Msg: h}, now, nil)
+		}
+	}) / changes
+}
+
+func listCost(vms int) float64 {
+	c := heardControl(300, smallFleetVMs, 0)
+	in := core.VMListRead{}
+	for i := range vms {
+		in.VMs = append(in.VMs, core.ListedVM{Name: VMName(i), Zone: zoneName(0), Addr: peerAddr(i)})
+	}
+	c.Handle(in, time.Hour, nil)
+	return bestOf(3, func() { c.Handle(in, time.Hour, nil) })
+}
+
+// measureSizes measures encoded messages and values.
+func measureSizes(uint64) []*Series {
+	push := newSeries("", "MembersPush", "B", "member")
+	value := newSeries("", "member list on the platform", "B", "member")
+	status := newSeries("", "zone status on the platform", "B", "VM of the zone")
+	for _, n := range []int{50, 200, 600} {
+		members := newMembers(n)
+		push.add(float64(n), messageSize(&core.MembersPush{Zone: zoneName(0), Epoch: 1, Members: members}))
+		text, err := platform.EncodeMembers(members)
+		mustSucceed(err)
+		value.add(float64(n), float64(len(text)))
+		vms := make([]core.VMStatus, n)
+		for i := range vms {
+			vms[i] = core.VMStatus{Name: VMName(i), Zone: zoneName(0), Generation: 1e6, State: core.VMLive, HeardMillis: 100}
+		}
+		text, err = platform.EncodeStatus(vms)
+		mustSucceed(err)
+		status.add(float64(n), float64(len(text)))
+	}
+	zones := newSeries("", "Heartbeat without holdings", "B", "zone")
+	for _, n := range []int{3, 10, 25} {
+		h := newHeartbeat(0)
+		h.Epochs = h.Epochs[:n]
+		zones.add(float64(n), messageSize(h))
+	}
+	holdings := newSeries("", "Heartbeat with 25 zones", "B", "target held")
+	for _, n := range []int{2, 5, 25} {
+		h := newHeartbeat(0)
+		for i := range n {
+			h.Holdings = append(h.Holdings, core.Holding{Target: core.NewTargetID("s", fmt.Sprint(i), ""),
+				Number: 1000 << 16, Load: core.TargetLoad{Flows: 3500, InFlight: 4, Limit: 4}})
+		}
+		holdings.add(float64(n), messageSize(h))
+	}
+	query := newSeries("", "FlowQuery to all peers", "B", "peer")
+	for _, n := range []int{8, 200, 15_000} {
+		query.add(float64(n), float64(n)*messageSize(&core.FlowQuery{Flow: newTrafficRig(1, true).key(1)}))
+	}
+	return []*Series{push, value, status, zones, holdings, query}
+}
+
+func messageSize(m core.Message) float64 {
+	data, err := wire.Encode(m, wire.MaxVersion)
+	mustSucceed(err)
+	return float64(len(data) + messageFraming)
+}
+
+func mustSucceed(err error) {
+	if err != nil {
+		panic("capacity: " + err.Error())
+	}
+}
+
+// measureCollisions counts pairs of targets with equal ids, as the mean of several sets of names.
+func measureCollisions(uint64) []*Series {
+	const sets = 50
+	s := newSeries("", "pairs of targets with equal ids", "pairs", "target")
+	for _, n := range []int{19_000, 38_000, 76_000} {
+		pairs := 0
+		for set := range sets {
+			seen := make(map[core.TargetID]int, n)
+			for i := range n {
+				id := core.NewTargetID(fmt.Sprintf("service-%d", i/targetsPerService), fmt.Sprintf("target-%d", i), fmt.Sprint(set))
+				pairs += seen[id]
+				seen[id]++
+			}
+		}
+		s.add(float64(n), float64(pairs)/sets)
+	}
+	runtime.GC()
+	return []*Series{s}
+}
