--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -38,6 +38,7 @@
 		{"single", "processor time of one Control against targets, members and VMs known", measureSingle},
 		{"sizes", "size of messages and values", measureSizes},
 		{"collisions", "32-bit target ids that collide", measureCollisions},
+		{"links", "cost of idle peer links on loopback, in real time", measureLinks},
 		{"memory", "memory per flow, target, VM and KB of configuration", measureMemory},
 		{"manifest", "processor time of decoding and installing a manifest", measureManifest},
 		{"packets", "processor time of a traffic shard per packet", measurePackets},
