--- a/core/message.go
+++ b/core/message.go
@@ -103,6 +103,9 @@
 	Moved bool
 	// Queried is true when peers were asked about the flow.
 	Queried bool
+	// Once is true for an idempotent request that another target has shed: it runs on Target, and
+	// its flow stays where it is.
+	Once bool
 	// Renewal is true when Request registers a live feed again whose caller has already got its
 	// first answer.
 	Renewal    bool
@@ -126,6 +129,9 @@
 type FlowReply struct {
 	Flow   FlowKey
 	Target TargetID
+	// Guess is true when no holder has confirmed that the flow is on Target: it was the flow's only
+	// candidate when the sender saw a packet of it.
+	Guess bool
 }
 
 // RecordStarted asks the backup to keep a copy of a started record.
@@ -158,8 +164,6 @@
 	QuarantineLeft time.Duration
 	// HoldLeft is the time in which a holder before the sender may still act.
 	HoldLeft time.Duration
-	// IdempotentLeft is the time in which nothing is known about idempotent requests of before.
-	IdempotentLeft time.Duration
 	// RebuildLeft is the time in which flows may appear that a lost holder before the sender had.
 	RebuildLeft time.Duration
 	// Former are the former target sets of the service that the sender knows, newest first. The
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -13,6 +13,8 @@
 	number   core.HoldingNumber
 	contract core.Contract
 	view     *core.TargetView
+	// addressReused is true when the target was removed and another one has its address.
+	addressReused bool
 
 	flows flowTable
 	// redirects is the number of flows in the table that are placed on other targets.
@@ -24,6 +26,8 @@
 
 	// doubts holds flows that were placed although another VM may know them elsewhere.
 	doubts map[core.FlowKey]*doubt
+	// origins holds flows that came back from other targets, whose holders may have records of them.
+	origins originTable
 	// guessed holds flows that were placed although peers had not answered in time.
 	guessed untilTable[core.FlowKey]
 	// passed holds flows that went on to other candidates while lost flows may appear here.
@@ -46,10 +50,15 @@
 
 	// formerUntil is the time until which a former holder may still act.
 	formerUntil time.Duration
+	// formerCold is true when the former holder may have found the target cold. Otherwise idempotent
+	// requests are served at the cold limit before formerUntil: a warm target bears both holders.
+	formerCold bool
 	// quarantineUntil is the time until which a request may arrive that a former holder started.
 	quarantineUntil time.Duration
-	// idempotentFrom is the time from which "not run" can be said about idempotent requests.
-	idempotentFrom time.Duration
+	// inheritedUntil is the part of quarantineUntil that came with a handover.
+	inheritedUntil time.Duration
+	// wasBackup is true when this shard kept copies of the former holder's records.
+	wasBackup bool
 	// rebuildUntil is the time until which flows may appear that the lost former holder had.
 	rebuildUntil time.Duration
 
@@ -78,6 +87,7 @@
 		reportedAt: -loadInterval,
 	}
 	o.doubts = map[core.FlowKey]*doubt{}
+	o.origins.init()
 	o.guessed.init()
 	o.passed.init()
 	o.moved.init()
@@ -87,6 +97,20 @@
 	return o
 }
 
+// addressReused reports whether another target of the configuration has a removed target's address.
+// The process there is not the removed target, so that its flows cannot go on.
+func (s *Shard) addressReused(v *core.TargetView) bool {
+	if !v.Removed {
+		return false
+	}
+	for _, t := range s.snap.Targets {
+		if t.Target.ID != v.Target.ID && !t.Removed && t.Target.Addr == v.Target.Addr {
+			return true
+		}
+	}
+	return false
+}
+
 // applyView takes over what a new snapshot says about the target.
 func (s *Shard) applyView(o *owner) {
 	out := o.view != nil && o.evicted(s.now)
@@ -94,6 +118,7 @@
 	if o.view == nil {
 		return
 	}
+	o.addressReused = s.addressReused(o.view)
 	if out && !o.evicted(s.now) {
 		// A target that returns to service is cold.
 		o.ramp.setCold(s.now)
@@ -145,20 +170,16 @@
 func (s *Shard) onTakeOver(t core.TakeOver) {
 	if old := s.owners[t.Target]; old != nil {
 		old.number = max(old.number, t.Number)
+		s.waitForFormer(old, t)
 		s.emit(core.HolderChanged{Target: old.id, Holder: s.opts.Self, Number: old.number})
+		s.pump(old)
 		return
 	}
 	o := s.newOwner(t.Target, t.Number)
-	o.formerUntil = t.FormerUntil
+	o.wasBackup = s.wasBackup(t.Target)
+	o.formerCold = o.view == nil || o.view.Load.Limit == 0 || o.view.Load.Cold
+	s.waitForFormer(o, t)
 	if !t.First {
-		last := max(t.FormerUntil, t.FormerDiedBy)
-		o.quarantineUntil = last + core.RequestLifetime
-		if t.BackupInSync && s.wasBackup(t.Target) {
-			// Refusals of the former holder are not in the backup's copy: repetitions that crossed
-			// them arrive for as long as refusals are remembered.
-			o.quarantineUntil = last + refusalMemory
-		}
-		o.idempotentFrom = last + core.RequestLifetime
 		o.rebuildUntil = s.now + core.FlowIdle
 		s.adoptBackup(o)
 		s.emit(core.Event{Kind: core.EventTakeOver, VM: s.opts.Self, Target: t.Target, Value: uint64(t.Number)})
@@ -168,6 +189,23 @@
 	s.retryParked()
 }
 
+// waitForFormer takes over the times until which a former holder may act and its requests may
+// arrive. They replace those of an earlier takeover, but not a quarantine that was handed over.
+func (s *Shard) waitForFormer(o *owner, t core.TakeOver) {
+	o.formerUntil = t.FormerUntil
+	o.quarantineUntil = o.inheritedUntil
+	if t.First {
+		return
+	}
+	last := max(t.FormerUntil, t.FormerDiedBy)
+	wait := core.RequestLifetime
+	if t.BackupInSync && o.wasBackup {
+		// Refusals of the former holder are not in the backup's copy.
+		wait = refusalMemory
+	}
+	o.quarantineUntil = max(o.quarantineUntil, last+wait)
+}
+
 // onDrop ends the holding because another VM has a higher number.
 func (s *Shard) onDrop(d core.Drop) {
 	o := s.owners[d.Target]
@@ -194,7 +232,7 @@
 // evicted reports whether the target gets no packets any more, not even of its flows.
 func (o *owner) evicted(now time.Duration) bool {
 	v := o.view
-	return v == nil || v.ZoneOut || v.Removed && now >= v.RemovedAt+o.drainTime()
+	return v == nil || v.ZoneOut || v.Removed && (o.addressReused || now >= v.RemovedAt+o.drainTime())
 }
 
 func (o *owner) drainTime() time.Duration {
@@ -212,6 +250,7 @@
 	s.tickRequests(o)
 	s.tickHandover(o)
 	o.records.expire(s, s.now)
+	o.origins.expire(s.now)
 	o.guessed.expire(s.now)
 	o.passed.expire(s.now)
 	o.moved.expire(s.now)
@@ -295,29 +334,3 @@
 	o.reportedAt = s.now
 	s.emit(core.LoadChanged{Target: o.id, Load: load})
 }
-
-// untilTable keeps keys until given times, which never decrease.
-type untilTable[K comparable] struct {
-	m     map[K]time.Duration
-	order fifo[K]
-}
-
-func (t *untilTable[K]) init() { t.m = map[K]time.Duration{} }
-
-func (t *untilTable[K]) put(k K, until time.Duration) {
-	if _, ok := t.m[k]; !ok {
-		t.order.push(k)
-	}
-	t.m[k] = until
-}
-
-func (t *untilTable[K]) has(k K, now time.Duration) bool {
-	until, ok := t.m[k]
-	return ok && now < until
-}
-
-func (t *untilTable[K]) expire(now time.Duration) {
-	for n := t.order.len(); n > 0 && t.m[*t.order.first()] <= now; n-- {
-		delete(t.m, t.order.pop())
-	}
-}
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -93,7 +93,10 @@
 // place chooses the target of a new flow.
 func (s *Shard) place(o *owner, f *core.ForwardRequest) *flowEntry {
 	flow := f.Request.Flow
-	target := s.choose(o, flow, f.Asked)
+	target := o.id
+	if !s.keepsLost(o, flow) {
+		target = s.choose(o, flow, f.Asked)
+	}
 	if target == 0 {
 		// The flow may be placed elsewhere soon, where nobody knows of this refusal.
 		r := s.newRequest(o, f)
@@ -109,11 +112,23 @@
 		s.noteDoubt(o, f)
 		s.event(core.EventFlowPlaced, target)
 	} else {
+		s.recent.add(target, s.now)
 		s.event(core.EventFlowRedirected, target)
 	}
 	return o.flows.get(&flow)
 }
 
+// keepsLost reports whether an unknown flow may be one that the target's lost former holder had
+// placed here. Such a flow stays on its primary: a new flow in its place costs some balance, while
+// an old one that is placed by load breaks.
+func (s *Shard) keepsLost(o *owner, flow core.FlowKey) bool {
+	if s.now >= o.rebuildUntil || !s.accepts(o) || o.full() {
+		return false
+	}
+	c := s.candidates(flow)
+	return len(c) > 0 && c[len(c)-1] == o.id
+}
+
 // redirect forwards a request of a flow that this owner placed on another target.
 func (s *Shard) redirect(o *owner, target core.TargetID, f *core.ForwardRequest) {
 	flow := f.Request.Flow
@@ -150,12 +165,17 @@
 	}
 	o.setFlow(flow, target, s.now)
 	o.moved.put(flow, s.now+core.RequestLifetime)
+	s.recent.add(target, s.now)
 	s.event(core.EventFlowRedirected, target)
 	s.redirect(o, target, f)
 }
 
 // moveRequest sends a waiting request to the flow's new target.
 func (s *Shard) moveRequest(o *owner, r *request) {
+	if r.once {
+		s.refuseRequest(o, r, core.ReasonTargetLost)
+		return
+	}
 	s.finish(o, r)
 	delete(o.records.m, r.key)
 	s.move(o, r.forward(s))
@@ -169,6 +189,7 @@
 		Cleared:    r.cleared,
 		Unreached:  !r.cleared,
 		Renewal:    r.renewal,
+		Once:       r.once,
 		Ingress:    r.ingress,
 		Hops:       2,
 		Generation: s.snap.Config.Generation,
@@ -205,7 +226,7 @@
 	if v == nil || !v.Accepts(s.now) {
 		return share{id: id}
 	}
-	flows, limit := int(v.Load.Flows), int(v.Load.Limit)
+	flows, limit := int(v.Load.Flows)+s.recent.count(id, s.now), int(v.Load.Limit)
 	if o := s.owners[id]; o != nil {
 		if o.ramp.draining() {
 			return share{id: id}
