--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -11,8 +11,7 @@
 	longPeriod = 2 * time.Minute
 	// largePeriod bounds the time for large fleets.
 	largePeriod = 10 * time.Second
-	// smallFleetVMs is the size at which other sizes are varied; member lists of one zone do not
-	// settle above 9 VMs.
+	// smallFleetVMs is the size at which other sizes are varied. All VMs exchange heartbeats there.
 	smallFleetVMs = 8
 	restartAfter  = 10 * time.Second
 )
@@ -41,14 +40,23 @@
 	out := newRateSeries("VM in the zone")
 	starts := newSeries("", "CPU per VM to start the fleet, 15 s", "ms", "VM in the zone")
 	members := newSeries("", "members on the list", "VMs", "VM in the zone")
+	var shares []*Series
+	for _, name := range []string{"(VM, target) pairs without a holder", "(VM, target) pairs with a wrong holder",
+		"targets that nobody holds", "targets that several VMs hold", "VMs with authority"} {
+		shares = append(shares, newSeries("", name, "%", "VM in the zone"))
+	}
 	for _, n := range []int{8, 25, 50, 100, 150} {
 		f := NewFleet(FleetOptions{Seed: seed, VMs: n, Targets: 14})
 		r := f.Measure(warmUp)
 		starts.add(float64(n), r.CPU*warmUp.Seconds())
 		out.add(float64(n), f.Measure(largePeriod))
 		members.add(float64(n), float64(len(f.Platform.members[zoneName(0)].Members)))
+		k := f.Knowledge()
+		for i, share := range []float64{k.NoHolder, k.WrongHolder, k.Unheld, k.Doubled, k.Authority} {
+			shares[i].add(float64(n), 100*share)
+		}
 	}
-	return append(out.all, starts, members)
+	return append(append(out.all, starts, members), shares...)
 }
 
 func measureZones(seed uint64) []*Series {
@@ -152,3 +160,33 @@
 	}
 	return append(all, size, loss, far)
 }
+
+// measureZoneLoss loses one of three zones, machines and all, and counts calls until the member lists
+// have settled.
+func measureZoneLoss(seed uint64) []*Series {
+	const zones, settling = 3, 2 * time.Minute
+	writes := newSeries("", "platform writes in the 2 min after a zone is lost", "calls", "VM")
+	reads := newSeries("", "platform reads in that time", "calls", "VM")
+	peak := newSeries("", "most writes in one second", "calls", "VM")
+	unheld := newSeries("", "targets that nobody holds after 2 min", "%", "VM")
+	for _, n := range []int{9, 24, 48, 96} {
+		f := NewFleet(FleetOptions{Seed: seed, VMs: n, Zones: zones, Targets: 30})
+		f.Run(warmUp)
+		f.Platform.Reads, f.Platform.Writes = 0, 0
+		for i := 0; i < n; i += zones {
+			f.Lose(VMName(i))
+		}
+		var most, last uint64
+		for range int(settling / time.Second) {
+			f.Run(time.Second)
+			most = max(most, f.Platform.Writes-last)
+			last = f.Platform.Writes
+		}
+		x := float64(n)
+		writes.add(x, float64(f.Platform.Writes))
+		reads.add(x, float64(f.Platform.Reads))
+		peak.add(x, float64(most))
+		unheld.add(x, 100*f.Knowledge().Unheld)
+	}
+	return []*Series{writes, reads, peak, unheld}
+}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -17,6 +17,8 @@
 	linkLatency  = time.Millisecond
 	redialAfter  = 500 * time.Millisecond
 	handoverTime = 5 * time.Millisecond
+	// linkSilence is the time after which package link closes a silent link.
+	linkSilence = 5 * time.Second
 	// messageFraming is the length prefix (4), yamux header (12) and TLS record (22) of a message.
 	messageFraming = 4 + 12 + 22
 )
@@ -54,8 +56,11 @@
 	control    *control.Control
 	inc        core.Incarnation
 	alive      bool
+	lost       bool
 	dials      map[core.VMName]bool
 	generation core.Generation
+	snapshot   *core.Snapshot
+	held       map[core.TargetID]bool
 	messages   uint64
 	bytes      uint64
 }
@@ -120,6 +125,8 @@
 	v.alive = true
 	v.dials = map[core.VMName]bool{}
 	v.generation = 0
+	v.snapshot = nil
+	v.held = map[core.TargetID]bool{}
 	// A VM's settings name the VMs before and after it.
 	n := len(f.vms)
 	i := (int(v.inc) + f.indexOf(v)) % n
@@ -151,6 +158,17 @@
 	}
 }
 
+// Lose takes the machine of a VM away; peers hear nothing, and their links close after a while.
+func (f *Fleet) Lose(name core.VMName) {
+	f.byName[name].alive = false
+	f.byName[name].lost = true
+	for _, v := range f.vms {
+		if v.alive && v.dials[name] {
+			f.later(v, linkSilence, core.LinkEvent{Peer: name, State: core.LinkDown})
+		}
+	}
+}
+
 // Run lets virtual time pass.
 func (f *Fleet) Run(d time.Duration) {
 	end := f.now + d
@@ -201,6 +219,8 @@
 		f.after(linkLatency, func() { f.dial(v, inc, a.Peer) })
 	case core.Hangup:
 		delete(v.dials, a.Peer)
+	case core.PublishSnapshot:
+		v.snapshot = a.Snapshot
 	case core.ToShard:
 		f.shard(v, a.Input)
 	case core.Event:
@@ -244,6 +264,9 @@
 		f.input(v, core.LinkEvent{Peer: peer, State: core.LinkUp})
 		return
 	}
+	if to.lost {
+		return
+	}
 	f.input(v, core.LinkEvent{Peer: peer, State: core.LinkDown})
 	f.input(v, core.LinkEvent{Peer: peer, State: core.LinkRefused})
 	f.after(redialAfter, func() { f.dial(v, inc, peer) })
@@ -253,15 +276,73 @@
 func (f *Fleet) shard(v *vm, in core.Input) {
 	switch in := in.(type) {
 	case core.TakeOver:
+		v.held[in.Target] = true
 		f.later(v, 0, holds(in.Target, v.info.Name, in.Number))
+	case core.Drop:
+		delete(v.held, in.Target)
 	case core.Release:
 		if to := f.byName[in.To]; to != nil && to.alive {
+			delete(v.held, in.Target)
+			to.held[in.Target] = true
 			f.later(to, handoverTime, holds(in.Target, in.To, in.Number))
 			f.later(v, 2*handoverTime, holds(in.Target, in.To, in.Number))
 		}
 	}
 }
 
+// Knowledge is what the VMs of a fleet know, as shares from 0 to 1.
+type Knowledge struct {
+	// NoHolder is the share of (VM, target) pairs in which the VM knows no holder, and WrongHolder
+	// that in which it names a VM that does not hold the target.
+	NoHolder, WrongHolder float64
+	// Unheld and Doubled are the shares of targets that no VM and more than one VM holds.
+	Unheld, Doubled float64
+	// Authority is the share of VMs that have authority.
+	Authority float64
+}
+
+// Knowledge returns what the living VMs know now.
+func (f *Fleet) Knowledge() Knowledge {
+	var k Knowledge
+	holders := map[core.TargetID]int{}
+	var pairs, alive float64
+	for _, v := range f.vms {
+		if !v.alive || v.snapshot == nil {
+			continue
+		}
+		alive++
+		if v.snapshot.AuthorityUntil > f.now {
+			k.Authority++
+		}
+		for id := range v.held {
+			holders[id]++
+		}
+		for id, t := range v.snapshot.Targets {
+			pairs++
+			if t.Holder == "" {
+				k.NoHolder++
+			} else if h := f.byName[t.Holder]; !h.alive || !h.held[id] {
+				k.WrongHolder++
+			}
+		}
+	}
+	targets := float64(f.Opts.Targets)
+	for _, s := range f.Platform.config.Services {
+		for i := range s.Targets {
+			switch n := holders[s.Targets[i].ID]; {
+			case n == 0:
+				k.Unheld += 1 / targets
+			case n > 1:
+				k.Doubled += 1 / targets
+			}
+		}
+	}
+	k.Authority /= max(alive, 1)
+	k.NoHolder /= max(pairs, 1)
+	k.WrongHolder /= max(pairs, 1)
+	return k
+}
+
 func holds(t core.TargetID, vm core.VMName, n core.HoldingNumber) core.Input {
 	return control.FromShard{Report: core.HolderChanged{Target: t, Holder: vm, Number: n}}
 }
--- a/internal/capacity/single.go
+++ b/internal/capacity/single.go
@@ -50,19 +50,17 @@
 	return c
 }
 
-// tickCost returns the processor time of ticks in ms per virtual second.
+// tickCost returns the processor time of ticks in ms per virtual second. It ends before peers become
+// suspect.
 func tickCost(c *control.Control) float64 {
-	const seconds = 1
-	now := time.Hour + tickInterval
-	for range 2 {
-		c.Handle(core.Tick{}, now, nil)
-	}
-	return bestOf(3, func() {
-		for range seconds * int(time.Second/tickInterval) {
-			now += time.Millisecond
+	const lasting = 1500 * time.Millisecond
+	now := time.Hour
+	return bestOf(1, func() {
+		for range int(lasting / tickInterval) {
+			now += tickInterval
 			c.Handle(core.Tick{}, now, nil)
 		}
-	}) / seconds
+	}) / lasting.Seconds()
 }
 
 // changeCost returns the processor time in ms of a heartbeat that announces another holding.
@@ -129,7 +127,16 @@
 	for _, n := range []int{8, 200, 15_000} {
 		query.add(float64(n), float64(n)*messageSize(&core.FlowQuery{Flow: newTrafficRig(1, true).key(1)}))
 	}
-	return []*Series{push, value, status, zones, holdings, query}
+	chunk := newSeries("", "HandoverChunk without feeds", "B", "flow")
+	for _, n := range []int{50, 200, 1000} {
+		m := &core.HandoverChunk{Target: 1 << 30, Number: 1000 << 16}
+		for i := range n {
+			flow := core.NewFlowKey(peerAddr(i), core.NewServiceID("s"))
+			m.Flows = append(m.Flows, core.FlowState{Flow: flow, Target: 1 << 30, Idle: time.Minute})
+		}
+		chunk.add(float64(n), messageSize(m))
+	}
+	return []*Series{push, value, status, zones, holdings, query, chunk}
 }
 
 func messageSize(m core.Message) float64 {
