--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -32,6 +32,8 @@
 	guessed untilTable[core.FlowKey]
 	// passed holds flows that went on to other candidates while lost flows may appear here.
 	passed untilTable[core.FlowKey]
+	// relayed holds flows about which a late reply was passed on.
+	relayed untilTable[core.FlowKey]
 
 	ramp     ramp
 	inFlight int
@@ -90,6 +92,7 @@
 	o.origins.init()
 	o.guessed.init()
 	o.passed.init()
+	o.relayed.init()
 	o.moved.init()
 	o.unsure.init()
 	s.applyView(o)
@@ -169,6 +172,13 @@
 // onTakeOver starts to hold a target whose former holder handed nothing over.
 func (s *Shard) onTakeOver(t core.TakeOver) {
 	if old := s.owners[t.Target]; old != nil {
+		if h := old.handover; h != nil && t.Number > h.number {
+			// Control has given the receiver up.
+			old.formerUntil = max(old.formerUntil, t.FormerUntil)
+			old.number = t.Number
+			s.abortHandover(old)
+			old.quarantineUntil = max(old.quarantineUntil, t.FormerUntil+core.RequestLifetime)
+		}
 		old.number = max(old.number, t.Number)
 		s.waitForFormer(old, t)
 		s.emit(core.HolderChanged{Target: old.id, Holder: s.opts.Self, Number: old.number})
@@ -253,6 +263,7 @@
 	o.origins.expire(s.now)
 	o.guessed.expire(s.now)
 	o.passed.expire(s.now)
+	o.relayed.expire(s.now)
 	o.moved.expire(s.now)
 	o.unsure.expire(s.now)
 	s.expireRemote(o)
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -26,6 +26,9 @@
 		if !f.Cleared {
 			s.doubtOthers(o, f)
 		}
+		if f.Queried {
+			o.guessed.put(flow, s.now+core.RequestLifetime)
+		}
 		return o.flows.get(&flow)
 	}
 	if f.Known {
@@ -158,6 +161,11 @@
 	if f.Request.Method == core.MethodCancel {
 		return
 	}
+	if e := o.flows.get(&flow); e != nil && e.target != o.id {
+		// An earlier request moved the flow; choosing again would split it.
+		s.redirect(o, e.target, f)
+		return
+	}
 	target := s.choose(o, flow, f.Asked)
 	if target == 0 || target == o.id {
 		s.refuseRequest(o, s.newRequest(o, f), core.ReasonNoTarget)
