Add a test of the loss of a whole zone

Cause: the measurement showed targets without a holder 2 min after a zone was lost, at 24 VMs and more; at 9 VMs all are held. With silent machines the links of the driver close after 5 s, as in package link, so the driver is ruled out as the cause.

--- a/internal/capacity/relay_test.go
+++ b/internal/capacity/relay_test.go
@@ -63,3 +63,19 @@
 		}
 	})
 }
+
+// Guards against targets that stay without a holder after their whole zone is lost: VMs that exchange
+// no heartbeats with the zone have to learn of its loss too (design page, section 4.2).
+func TestZoneLoss(t *testing.T) {
+	for _, vms := range []int{9, 24} {
+		f := NewFleet(FleetOptions{Seed: 1, VMs: vms, Zones: 3, Targets: 30})
+		f.Run(15 * time.Second)
+		for i := 0; i < vms; i += 3 {
+			f.Lose(VMName(i))
+		}
+		f.Run(2 * time.Minute)
+		if k := f.Knowledge(); k.Unheld > 0 {
+			t.Errorf("%d VMs: nobody holds %.0f%% of the targets 2 min after a zone was lost", vms, 100*k.Unheld)
+		}
+	}
+}
