--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -190,3 +190,17 @@
 	}
 	return []*Series{writes, reads, peak, unheld}
 }
+
+// measureOutage takes the platform away for longer than a confirmation lasts.
+func measureOutage(seed uint64) []*Series {
+	const outage = 30 * time.Second
+	authority := newSeries("", "VMs with authority in an outage of the platform", "%", "VM in the zone")
+	for _, n := range []int{8, 9, 10, 25, 50} {
+		f := NewFleet(FleetOptions{Seed: seed, VMs: n, Targets: 14})
+		f.Run(warmUp)
+		f.Platform.Down = true
+		f.Run(outage)
+		authority.add(float64(n), 100*f.Knowledge().Authority)
+	}
+	return []*Series{authority}
+}
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -15,6 +15,8 @@
 type Platform struct {
 	// Reads and Writes count calls.
 	Reads, Writes uint64
+	// Down makes every call fail after platformTime.
+	Down bool
 
 	config  *core.Config
 	former  map[core.Generation]*core.Config
@@ -89,6 +91,10 @@
 // call answers a call of a VM to the platform.
 func (f *Fleet) call(v *vm, a core.Action) {
 	p := &f.Platform
+	if p.Down {
+		f.refuse(v, a)
+		return
+	}
 	switch a := a.(type) {
 	case core.WriteMembers:
 		p.Writes++
@@ -115,6 +121,23 @@
 	}
 }
 
+// refuse lets a call fail.
+func (f *Fleet) refuse(v *vm, a core.Action) {
+	failed := func(object string) { f.later(v, platformTime, core.PlatformFailed{Object: object}) }
+	switch a := a.(type) {
+	case core.WriteMembers:
+		f.later(v, platformTime, core.MembersWritten{Zone: a.Zone, Outcome: core.WriteUnknown})
+	case core.ReadHeads:
+		failed(core.ObjectHeads)
+	case core.ReadManifest:
+		failed(core.ObjectManifest)
+	case core.ReadMembers:
+		failed(core.MembersObject(a.Zone))
+	case core.ReadVMList:
+		failed(core.ObjectVMList)
+	}
+}
+
 func (f *Fleet) writeMembers(a core.WriteMembers) core.Input {
 	p := &f.Platform
 	m := p.members[a.Zone]
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -35,6 +35,7 @@
 		{"changes", "control cost against configuration changes a minute, 8 VMs", measureChanges},
 		{"losses", "control cost against VMs that fail and restart a minute, 9 VMs", measureLosses},
 		{"zoneloss", "platform calls after the loss of one of three zones", measureZoneLoss},
+		{"outage", "authority in an outage of the platform", measureOutage},
 		{"force", "time until a change is in force against fleet size and message loss", measureForce},
 		{"single", "processor time of one Control against targets, members and VMs known", measureSingle},
 		{"sizes", "size of messages and values", measureSizes},
