Drop a target that arrives by a repeated, outdated handover

A sender repeats a handover whose confirmation was lost. When the receiver has handed the target on in the meantime, a shard that forgot it took the target again, and two VMs had authority. Control now drops a target that is reported under a number below the highest one it knows.

Measured: all tests of core/control pass with 100 checks.

--- a/core/control/holder.go
+++ b/core/control/holder.go
@@ -460,8 +460,9 @@
 	if h.held && number < h.number {
 		return
 	}
-	if number <= h.dropped {
-		// The report was under way when the shard was told to drop the target.
+	if number <= h.dropped || !h.held && number < h.highest {
+		// The report was under way when the shard was told to drop the target, or a repeated handover
+		// arrived after the target had been handed on.
 		c.drop(t, h.former)
 		return
 	}
