Create keys with the keys commands and use mutual TLS in serve

The files of a VM are now NAME.pem and NAME-key.pem, as the settings of the examples name them, so that one directory can hold the files of all VMs.

--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -1,28 +1,26 @@
 package cli
 
 import (
-	"errors"
 	"fmt"
+	"time"
 
 	"github.com/spf13/cobra"
 
-	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/keys"
 )
 
-// CreateCA creates a certificate authority for peer links: the files ca.pem and ca-key.pem in dir.
-var CreateCA func(dir string) error
-
-// CreateCert creates a certificate for a VM with the authority in dir: the files NAME.pem and
-// NAME-key.pem in dir.
-var CreateCert func(dir string, vm core.VMName) error
-
-var errNoKeys = errors.New("this build cannot create keys; use a release build")
+// authorityName is the subject of authorities; it only shows in error messages of TLS.
+const authorityName = "mangoweir"
 
 // newKeys returns the command that creates certificates for peer links.
 func (a *app) newKeys() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:     "keys",
-		Short:   "Create certificates for links between VMs",
+		Use:   "keys",
+		Short: "Create certificates for links between VMs",
+		Long: `Create the certificates with which VMs prove to each other who they are.
+
+The directory gets ca.pem, ca-key.pem and, for each VM, NAME.pem and NAME-key.pem. A VM needs
+ca.pem and its own two files; ca-key.pem stays with the operators.`,
 		Example: "  mangoweir keys ca --dir keys\n  mangoweir keys cert --dir keys randstad-ut-1 randstad-ut-2",
 		Args:    cobra.NoArgs,
 		RunE:    func(*cobra.Command, []string) error { return usagef("keys: use ca or cert") },
@@ -39,11 +37,12 @@
 		Args:    cobra.NoArgs,
 	}
 	dir := addDirFlag(cmd)
+	validity := addValidityFlag(cmd, keys.DefaultAuthorityValidity)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if CreateCA == nil {
-			return errNoKeys
+		if *validity <= 0 {
+			return usagef("keys ca: --validity must be more than 0s")
 		}
-		if err := CreateCA(*dir); err != nil {
+		if err := keys.CreateAuthority(*dir, authorityName, *validity); err != nil {
 			return err
 		}
 		fmt.Fprintf(cmd.OutOrStdout(), "created the certificate authority in %s\n", *dir)
@@ -56,16 +55,18 @@
 	cmd := &cobra.Command{
 		Use:     "cert VM...",
 		Short:   "Create certificates for VMs",
-		Example: "  mangoweir keys cert --dir keys randstad-ut-1",
+		Example: "  mangoweir keys cert --dir keys randstad-ut-1\n  mangoweir keys cert --dir keys --renew randstad-ut-1",
 		Args:    cobra.MinimumNArgs(1),
 	}
 	dir := addDirFlag(cmd)
+	validity := addValidityFlag(cmd, keys.DefaultValidity)
+	renew := cmd.Flags().Bool("renew", false, "replace certificates; running VMs take them over")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		if CreateCert == nil {
-			return errNoKeys
+		if *validity <= 0 {
+			return usagef("keys cert: --validity must be more than 0s")
 		}
 		for _, name := range args {
-			if err := CreateCert(*dir, core.VMName(name)); err != nil {
+			if err := keys.Issue(*dir, *dir, name, *validity, *renew); err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "created the certificate of %s in %s\n", name, *dir)
@@ -78,3 +79,7 @@
 func addDirFlag(cmd *cobra.Command) *string {
 	return cmd.Flags().String("dir", "keys", "directory of the certificate authority and certificates")
 }
+
+func addValidityFlag(cmd *cobra.Command, otherwise time.Duration) *time.Duration {
+	return cmd.Flags().Duration("validity", otherwise, "time until the certificate expires")
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/mangoweir/mangoweir/internal/daemon"
+	"github.com/mangoweir/mangoweir/internal/keys"
 	"github.com/mangoweir/mangoweir/internal/settings"
 )
 
@@ -41,6 +42,24 @@
 	return cmd
 }
 
+// loadKeys sets the credentials of peer links if the settings name certificates, and takes over
+// renewed files until ctx ends. Errors are those of keys.Load.
+func loadKeys(ctx context.Context, opts *daemon.Options) error {
+	st := opts.Settings
+	if st.TLS == nil {
+		opts.Log.Warn("Peer links are not encrypted; create certificates with mangoweir keys and name them in the settings.")
+		return nil
+	}
+	files := keys.Files{Certificate: st.TLS.Cert, Key: st.TLS.Key, Authority: st.TLS.CA}
+	store, err := keys.Load(files, string(st.Name), opts.Log)
+	if err != nil {
+		return err
+	}
+	opts.Credentials = store
+	go store.Watch(ctx, keys.DefaultReloadInterval)
+	return nil
+}
+
 // serve runs an entry VM until it is told to stop.
 func serve(ctx context.Context, st *settings.Settings, logs logWriter) error {
 	if ctx == nil {
@@ -49,7 +68,13 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
-	d, err := daemon.Start(daemon.Options{Settings: st, Log: newLogger(st.Log, logs)})
+	opts := daemon.Options{Settings: st, Log: newLogger(st.Log, logs)}
+	ctx, cancelWatch := context.WithCancel(ctx)
+	defer cancelWatch()
+	if err := loadKeys(ctx, &opts); err != nil {
+		return err
+	}
+	d, err := daemon.Start(opts)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/internal/jsonc"
+	"github.com/mangoweir/mangoweir/internal/keys"
+	"github.com/mangoweir/mangoweir/internal/platform"
+	"github.com/mangoweir/mangoweir/internal/settings"
+	standin "github.com/mangoweir/mangoweir/internal/standin/platform"
+)
+
+// manifest has one target, at which nothing listens unless a test starts it.
+const manifest = `{
+  "deployment": "test",
+  "zones": [{"name": "zone-a"}],
+  "services": [{
+    "name": "desk", "address": "127.94.0.1:5683",
+    "targets": [{"name": "desk-1", "address": "127.94.1.1:5683", "zone": "zone-a", "slots": 4, "connections": 100}]
+  }]
+}`
+
+var free = netip.MustParseAddrPort("127.0.0.1:0")
+
+// startPlatform starts a platform with the manifest and returns its URL.
+func startPlatform(t *testing.T) string {
+	t.Helper()
+	server := standin.New()
+	url, err := server.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	server.Set(platform.ManifestKey, []byte(manifest))
+	return url
+}
+
+// testSettings returns settings of a VM on free loopback ports.
+func testSettings(url string, name core.VMName, seeds ...*Daemon) *settings.Settings {
+	st := &settings.Settings{
+		Name: name, Zone: "zone-a",
+		Listen:         settings.Listen{Fabric: free, Targets: free, Peers: free, HTTP: free},
+		FabricReturn:   netip.MustParseAddrPort("127.94.100.1:5683"),
+		Platform:       settings.Platform{URL: url, Timeout: jsonc.Duration(settings.DefaultTimeout), Rate: settings.DefaultRate},
+		TrafficThreads: settings.DefaultTrafficThreads,
+	}
+	for _, d := range seeds {
+		st.Seeds = append(st.Seeds, settings.Seed{Name: d.opts.Settings.Name, Zone: "zone-a", Address: d.PeerAddr()})
+	}
+	return st
+}
+
+// startDaemon starts a VM that ends with the test.
+func startDaemon(t *testing.T, opts Options) *Daemon {
+	t.Helper()
+	opts.Log = slog.New(slog.DiscardHandler)
+	d, err := Start(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Kill)
+	return d
+}
+
+// within waits until ok holds.
+func within(limit time.Duration, ok func() bool) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return false
+}
+
+// issue creates the certificate of a VM and loads it.
+func issue(t *testing.T, dir string, name core.VMName) *keys.Store {
+	t.Helper()
+	if err := keys.Issue(dir, dir, string(name), 0, false); err != nil {
+		t.Fatal(err)
+	}
+	store, err := keys.Load(keys.FilesIn(dir, string(name)), string(name), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
+// Guards against VMs with certificates that form no links, and against links with a VM whose
+// certificate is of another authority.
+func TestMutualTLS(t *testing.T) {
+	Convey("VMs of one authority link up, and a VM of another one is refused", t, func() {
+		url := startPlatform(t)
+		ours, theirs := t.TempDir(), t.TempDir()
+		for _, dir := range []string{ours, theirs} {
+			So(keys.CreateAuthority(dir, "test", 0), ShouldBeNil)
+		}
+		a := startDaemon(t, Options{Settings: testSettings(url, "vm-a"), Credentials: issue(t, ours, "vm-a")})
+		b := startDaemon(t, Options{Settings: testSettings(url, "vm-b", a), Credentials: issue(t, ours, "vm-b")})
+		linked := func() bool { return a.links.Stats().Links == 1 && b.links.Stats().Links == 1 }
+		So(within(10*time.Second, func() bool { return linked() && a.Ready() && b.Ready() }), ShouldBeTrue)
+
+		stranger := startDaemon(t, Options{Settings: testSettings(url, "vm-c", a, b), Credentials: issue(t, theirs, "vm-c")})
+		// Several redials fit in this time, as the wait between them is at most 1 s.
+		time.Sleep(3 * time.Second)
+		So(stranger.links.Stats().Links, ShouldEqual, 0)
+		So(linked(), ShouldBeTrue)
+	})
+}
--- a/internal/keys/create.go
+++ b/internal/keys/create.go
@@ -9,6 +9,7 @@
 	"crypto/x509/pkix"
 	"math/big"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -63,7 +64,7 @@
 	if !validName(name) {
 		return newError(ErrBadName, "%q", name)
 	}
-	files := FilesIn(dir)
+	files := FilesIn(dir, name)
 	if !renew && (exists(files.Certificate) || exists(files.Key)) {
 		return newError(ErrExists, "%s", dir)
 	}
@@ -170,13 +171,18 @@
 	return writeFile(certPath, encodeCertificate(der), certificateMode)
 }
 
+// validName accepts the names that settings accept. It refuses names whose files would be those of
+// the authority or the key of another VM.
 func validName(name string) bool {
 	if name == "" || len(name) > maxName {
 		return false
 	}
+	if name+certificateSuffix == AuthorityFile || strings.HasSuffix(name+certificateSuffix, keySuffix) {
+		return false
+	}
 	for _, r := range name {
 		letter := 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z'
-		if !letter && !('0' <= r && r <= '9') && r != '-' && r != '.' {
+		if !letter && !('0' <= r && r <= '9') && r != '-' && r != '.' && r != '_' {
 			return false
 		}
 	}
--- a/internal/keys/doc.go
+++ b/internal/keys/doc.go
@@ -1,7 +1,7 @@
 // Package keys creates, loads and checks the certificates of peer links.
 //
-// A directory of a VM holds cert.pem, key.pem and ca.pem; the directory of the certificate authority
-// holds ca.pem and ca-key.pem. Key files have mode 0600. ca.pem may hold several certificates, so
+// The files of a VM are NAME.pem, NAME-key.pem and ca.pem; those of the certificate authority are
+// ca.pem and ca-key.pem. Both can share a directory. Key files have mode 0600. ca.pem may hold several certificates, so
 // that an authority can be replaced without stopping VMs.
 //
 // A Store owns the certificates in use and replaces them when the files change.
--- a/internal/keys/errors.go
+++ b/internal/keys/errors.go
@@ -13,7 +13,7 @@
 	// ErrWrite: a file cannot be written.
 	ErrWrite = errors.ConstError("cannot write certificate file: check the directory and its permissions")
 	// ErrExists: a file would be overwritten.
-	ErrExists = errors.ConstError("file exists: choose another directory or renew the certificate")
+	ErrExists = errors.ConstError("file exists: choose another directory, or give --renew to replace a certificate")
 	// ErrFormat: a file does not hold what its name says.
 	ErrFormat = errors.ConstError("malformed certificate file: create it again with mangoweir keys")
 	// ErrKeyMode: others than the owner can read a key.
@@ -31,7 +31,7 @@
 	// ErrAuthority: a certificate is not signed by the given authority.
 	ErrAuthority = errors.ConstError("certificate is not signed by ca.pem: use the ca.pem that all VMs share")
 	// ErrBadName: a name cannot stand in a certificate.
-	ErrBadName = errors.ConstError("invalid VM name: use 1 to 63 letters, digits, dots and hyphens")
+	ErrBadName = errors.ConstError("invalid VM name: use 1 to 63 letters, digits, dots, hyphens and underscores, not \"ca\" and no name that ends in \"-key\"")
 )
 
 // newError returns an error of the given kind with details.
--- a/internal/keys/files.go
+++ b/internal/keys/files.go
@@ -14,11 +14,12 @@
 
 // Names of files in the directories that this package writes.
 const (
-	CertificateFile = "cert.pem"
-	KeyFile         = "key.pem"
-	AuthorityFile   = "ca.pem"
+	AuthorityFile = "ca.pem"
 	// AuthorityKeyFile stays with the authority; VMs do not need it.
 	AuthorityKeyFile = "ca-key.pem"
+	// certificateSuffix and keySuffix follow the VM's name.
+	certificateSuffix = ".pem"
+	keySuffix         = "-key.pem"
 )
 
 const (
@@ -43,11 +44,11 @@
 	Authority   string
 }
 
-// FilesIn returns the paths that Issue writes to a directory.
-func FilesIn(dir string) Files {
+// FilesIn returns the paths that Issue writes to a directory for the named VM.
+func FilesIn(dir, name string) Files {
 	return Files{
-		Certificate: filepath.Join(dir, CertificateFile),
-		Key:         filepath.Join(dir, KeyFile),
+		Certificate: filepath.Join(dir, name+certificateSuffix),
+		Key:         filepath.Join(dir, name+keySuffix),
 		Authority:   filepath.Join(dir, AuthorityFile),
 	}
 }
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -37,7 +37,7 @@
 	Convey("Given an authority and a VM's files", t, func() {
 		authorityDir, dir := issued(t, "vm-1", 0)
 		Convey("key files have mode 0600", func() {
-			for _, path := range []string{filepath.Join(authorityDir, AuthorityKeyFile), filepath.Join(dir, KeyFile)} {
+			for _, path := range []string{filepath.Join(authorityDir, AuthorityKeyFile), FilesIn(dir, "vm-1").Key} {
 				info, err := os.Stat(path)
 				So(err, ShouldBeNil)
 				So(info.Mode().Perm(), ShouldEqual, keyMode)
@@ -52,7 +52,7 @@
 			So(Issue(authorityDir, dir, "vm-1", 0, true), ShouldBeNil)
 		})
 		Convey("names that no certificate can hold are refused", func() {
-			for _, name := range []string{"", "a b", "vm/1", "é", string(make([]byte, 64))} {
+			for _, name := range []string{"", "a b", "vm/1", "é", "ca", "ca-key", "vm-1-key", string(make([]byte, 64))} {
 				So(kindOf(Issue(authorityDir, t.TempDir(), name, 0, false), ErrBadName), ShouldBeTrue)
 			}
 		})
@@ -60,7 +60,7 @@
 			short, vm := t.TempDir(), t.TempDir()
 			So(CreateAuthority(short, "test", time.Hour), ShouldBeNil)
 			So(Issue(short, vm, "vm-1", 0, false), ShouldBeNil)
-			s, err := Load(FilesIn(vm), "vm-1", quiet)
+			s, err := Load(FilesIn(vm, "vm-1"), "vm-1", quiet)
 			So(err, ShouldBeNil)
 			So(time.Until(s.NotAfter()), ShouldBeLessThanOrEqualTo, time.Hour)
 		})
@@ -73,7 +73,7 @@
 	authorityDir, dir := issued(t, "vm-1", 0)
 	_, otherDir := issued(t, "vm-1", 0)
 	_, expiredDir := issued(t, "vm-1", -time.Minute)
-	files, other := FilesIn(dir), FilesIn(otherDir)
+	files, other := FilesIn(dir, "vm-1"), FilesIn(otherDir, "vm-1")
 	text := filepath.Join(t.TempDir(), "text.pem")
 	open := filepath.Join(t.TempDir(), "open.pem")
 	key, _ := os.ReadFile(files.Key)
@@ -97,7 +97,7 @@
 		{"another authority", Files{files.Certificate, files.Key, other.Authority}, "vm-1", ErrAuthority},
 		{"no authority", Files{files.Certificate, files.Key, files.Certificate}, "vm-1", ErrFormat},
 		{"another name", files, "vm-2", ErrName},
-		{"an expired certificate", FilesIn(expiredDir), "vm-1", ErrExpired},
+		{"an expired certificate", FilesIn(expiredDir, "vm-1"), "vm-1", ErrExpired},
 		{"a certificate of clients", Files{clientOnly, files.Key, files.Authority}, "vm-1", ErrUsage},
 	}
 	Convey("Each mistake has its kind", t, func() {
@@ -149,7 +149,7 @@
 	Convey("Given a loaded certificate", t, func() {
 		authorityDir, dir := issued(t, "vm-1", time.Hour)
 		log := &bytes.Buffer{}
-		s, err := Load(FilesIn(dir), "vm-1", slog.New(slog.NewTextHandler(log, nil)))
+		s, err := Load(FilesIn(dir, "vm-1"), "vm-1", slog.New(slog.NewTextHandler(log, nil)))
 		So(err, ShouldBeNil)
 		first := s.Certificate()
 		Convey("unchanged files change nothing", func() {
@@ -159,9 +159,9 @@
 		})
 		Convey("a key without its certificate is not used", func() {
 			_, otherDir := issued(t, "vm-1", 0)
-			data, err := os.ReadFile(filepath.Join(otherDir, KeyFile))
+			data, err := os.ReadFile(FilesIn(otherDir, "vm-1").Key)
 			So(err, ShouldBeNil)
-			So(os.WriteFile(filepath.Join(dir, KeyFile), data, keyMode), ShouldBeNil)
+			So(os.WriteFile(FilesIn(dir, "vm-1").Key, data, keyMode), ShouldBeNil)
 			_, err = s.Reload()
 			So(kindOf(err, ErrKeyMismatch), ShouldBeTrue)
 			So(s.Certificate(), ShouldEqual, first)
--- a/internal/link/tls_test.go
+++ b/internal/link/tls_test.go
@@ -30,7 +30,7 @@
 	if err := keys.Issue(a.dir, dir, name, 0, false); err != nil {
 		t.Fatal(err)
 	}
-	s, err := keys.Load(keys.FilesIn(dir), name, slog.New(slog.DiscardHandler))
+	s, err := keys.Load(keys.FilesIn(dir, name), name, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
