--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,14 +56,20 @@
 	d := &Daemon{opts: opts, set: metrics.NewSet(), drained: make(chan struct{}),
 		linksReady: make(chan struct{})}
 	d.report = newReporter(d.set, opts.Log)
-	var err error
+	hops, err := newHops(st, opts.Log)
+	if err != nil {
+		return nil, err
+	}
 	if d.ports, err = newPorts(st.Listen.Fabric, st.Listen.Targets, st.FabricReturn); err != nil {
+		hops.close(opts.Log)
 		return nil, errors.Annotate(err, "open the ports for fabric and targets; check listen in the settings")
 	}
+	d.ports.hops = hops
 	client, err := platform.NewClient(st.Platform.URL, platform.Options{
 		Timeout: time.Duration(st.Platform.Timeout), Rate: st.Platform.Rate,
 	})
 	if err != nil {
+		hops.close(opts.Log)
 		d.ports.close()
 		return nil, err
 	}
@@ -75,6 +81,7 @@
 		Log: opts.Log.With("part", "link"),
 	}); err != nil {
 		cancel()
+		hops.close(opts.Log)
 		d.ports.close()
 		return nil, err
 	}
@@ -97,7 +104,7 @@
 	}, max(st.TrafficThreads, 1), d)
 	d.runtime.published = &d.snapshot
 	d.ports.snapshot, d.ports.post = &d.snapshot, d.runtime.post
-	d.ports.report, d.ports.hops = d.report, &hops{}
+	d.ports.report = d.report
 	d.platform = &platformPort{client: client, zone: st.Zone, runtime: d.runtime,
 		snapshot: d.snapshot.Load, ctx: ctx}
 	close(d.linksReady)
@@ -142,6 +149,9 @@
 // fromPeer hands a peer's message to the core.
 func (d *Daemon) fromPeer(m core.PeerMessage) {
 	<-d.linksReady
+	if f, ok := m.Msg.(*core.ForwardRequest); ok {
+		d.ports.hops.received(f)
+	}
 	if !d.runtime.post(m) {
 		d.report.dropped("mailbox_full")
 	}
@@ -169,7 +179,7 @@
 	case core.Hangup:
 		d.links.Hangup(a.Peer)
 	case core.Event:
-		d.report.event(a, d.targetName(a.Target))
+		d.report.event(a, d.ports.targetName(a.Target))
 	case core.Drained:
 		d.drainOnce.Do(func() { close(d.drained) })
 	default:
@@ -189,15 +199,6 @@
 	d.links.Send(a.To, a.Msg)
 }
 
-// targetName returns the name of a target for logs.
-func (d *Daemon) targetName(id core.TargetID) string {
-	snap := d.snapshot.Load()
-	if id == 0 || snap == nil || snap.Targets[id] == nil {
-		return ""
-	}
-	return snap.Targets[id].Target.Name
-}
-
 // Name returns the VM's name.
 func (d *Daemon) Name() string { return string(d.opts.Settings.Name) }
 
@@ -252,6 +253,7 @@
 		d.runtime.close()
 		d.platform.wg.Wait()
 		d.wg.Wait()
+		d.ports.hops.close(d.opts.Log)
 		d.opts.Log.Info("Entry VM ended.", append([]any{"part", "daemon"}, d.report.summary()...)...)
 	})
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -16,20 +17,32 @@
 	standin "github.com/mangoweir/mangoweir/internal/standin/platform"
 )
 
-// manifest has one target, at which nothing listens unless a test starts it.
-const manifest = `{
+// manifest returns a manifest with one service of one target.
+func manifest(service, target netip.AddrPort) []byte {
+	return fmt.Appendf(nil, manifestFormat, service, target)
+}
+
+const manifestFormat = `{
   "deployment": "test",
   "zones": [{"name": "zone-a"}],
   "services": [{
-    "name": "desk", "address": "127.94.0.1:5683",
-    "targets": [{"name": "desk-1", "address": "127.94.1.1:5683", "zone": "zone-a", "slots": 4, "connections": 100}]
+    "name": "desk", "address": "%s",
+    "targets": [{"name": "desk-1", "address": "%s", "zone": "zone-a", "slots": 4, "connections": 100}]
   }]
 }`
 
+// Addresses at which nothing listens.
+var (
+	noService = netip.MustParseAddrPort("127.94.0.1:5683")
+	noTarget  = netip.MustParseAddrPort("127.94.1.1:5683")
+)
+
+var discard = slog.New(slog.DiscardHandler)
+
 var free = netip.MustParseAddrPort("127.0.0.1:0")
 
 // startPlatform starts a platform with the manifest and returns its URL.
-func startPlatform(t *testing.T) string {
+func startPlatform(t *testing.T, service, target netip.AddrPort) string {
 	t.Helper()
 	server := standin.New()
 	url, err := server.Start("127.0.0.1:0")
@@ -37,7 +50,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = server.Close() })
-	server.Set(platform.ManifestKey, []byte(manifest))
+	server.Set(platform.ManifestKey, manifest(service, target))
 	return url
 }
 
@@ -59,7 +72,7 @@
 // startDaemon starts a VM that ends with the test.
 func startDaemon(t *testing.T, opts Options) *Daemon {
 	t.Helper()
-	opts.Log = slog.New(slog.DiscardHandler)
+	opts.Log = discard
 	d, err := Start(opts)
 	if err != nil {
 		t.Fatal(err)
@@ -84,7 +97,7 @@
 	if err := keys.Issue(dir, dir, string(name), 0, false); err != nil {
 		t.Fatal(err)
 	}
-	store, err := keys.Load(keys.FilesIn(dir, string(name)), string(name), slog.New(slog.DiscardHandler))
+	store, err := keys.Load(keys.FilesIn(dir, string(name)), string(name), discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +108,7 @@
 // certificate is of another authority.
 func TestMutualTLS(t *testing.T) {
 	Convey("VMs of one authority link up, and a VM of another one is refused", t, func() {
-		url := startPlatform(t)
+		url := startPlatform(t, noService, noTarget)
 		ours, theirs := t.TempDir(), t.TempDir()
 		for _, dir := range []string{ours, theirs} {
 			So(keys.CreateAuthority(dir, "test", 0), ShouldBeNil)
--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -82,6 +82,7 @@
 		return
 	}
 	answer.Flow.Service = id
+	p.hops.fromTarget(&answer)
 	p.post(answer)
 }
 
@@ -112,9 +113,18 @@
 	return s.Addr, true
 }
 
+// targetName returns the name of a target for logs and traces.
+func (p *ports) targetName(id core.TargetID) string {
+	snap := p.snapshot.Load()
+	if id == 0 || snap == nil || snap.Targets[id] == nil {
+		return ""
+	}
+	return snap.Targets[id].Target.Name
+}
+
 // sendTarget sends an attempt or its cancellation.
 func (p *ports) sendTarget(a core.SendTarget) {
-	p.hops.toTarget(&a)
+	p.hops.toTarget(&a, p.targetName(a.Target))
 	p.send(p.targets, a.Addr, a.Service, func(dst []byte, service netip.AddrPort) ([]byte, error) {
 		return carrier.AppendSend(dst, &a, service)
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,12 +85,14 @@
 	Format string `json:"format" expect:"\"text\" or \"json\""`
 }
 
-// Traces says where traces go; they are off when both fields are empty.
+// Traces says where traces go; they are off when File and OTLP are empty. At most one may be set.
 type Traces struct {
 	// File is appended to. A relative name is relative to the settings file.
 	File string `json:"file" expect:"a file name"`
 	// OTLP is the URL of an OTLP endpoint over HTTP.
 	OTLP string `json:"otlp" expect:"an http or https URL"`
+	// Ratio is the share of requests that are traced, from 0 to 1; default 1.
+	Ratio float64 `json:"ratio" expect:"a number from 0 to 1"`
 }
 
 // Defaults of settings.
@@ -100,6 +102,7 @@
 	DefaultLogLevel       = "info"
 	DefaultLogFormat      = "text"
 	DefaultTrafficThreads = 2
+	DefaultTraceRatio     = 1.0
 )
 
 // Bounds of settings.
@@ -115,6 +118,7 @@
 	return &Settings{
 		Platform:       Platform{Timeout: jsonc.Duration(DefaultTimeout), Rate: DefaultRate},
 		Log:            Log{Level: DefaultLogLevel, Format: DefaultLogFormat},
+		Traces:         Traces{Ratio: DefaultTraceRatio},
 		TrafficThreads: DefaultTrafficThreads,
 	}
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -31,6 +31,12 @@
 	if v.s.Traces.OTLP != "" {
 		v.url(jsonc.Path{"traces", "otlp"}, v.s.Traces.OTLP)
 	}
+	if v.s.Traces.File != "" && v.s.Traces.OTLP != "" {
+		v.report(jsonc.Path{"traces", "otlp"}, "traces go to a file already", "remove traces.file or traces.otlp")
+	}
+	if r := v.s.Traces.Ratio; !(r >= 0 && r <= 1) {
+		v.report(jsonc.Path{"traces", "ratio"}, "the ratio is out of range", "use 0 to 1")
+	}
 	if n := v.s.TrafficThreads; n < 1 || n > MaxTrafficThreads {
 		v.report(jsonc.Path{"trafficThreads"}, "the number is out of range",
 			fmt.Sprintf("use 1 to %d", MaxTrafficThreads))
--- a/internal/telemetry/span.go
+++ b/internal/telemetry/span.go
@@ -55,6 +55,9 @@
 	return Span{span: span, parent: parent}
 }
 
+// Recording reports whether the span is traced here.
+func (s Span) Recording() bool { return s.span != nil }
+
 // Context returns what the request carries to the next hop.
 func (s Span) Context() core.TraceContext {
 	if s.span == nil {
