Keep a stopping VM until the feeds it handed over are registered again

Cause: with 640 feeds per target the new holder needs more than 10 s to register them; the stopped VM ended before, and feeds were silent for over 10 s. Ruled out: lost handover chunks (the new holder had all registrations). Change: a stopping shard counts as drained only when it relays no feeds.

--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -272,7 +272,9 @@
 		return
 	}
 	busy := len(s.ordered) + len(s.former) + len(s.parked.list) + len(s.attempts) + len(s.queries.waiting)
-	if busy > 0 {
+	if busy > 0 || len(s.oldFeeds) > 0 {
+		// A new holder registers feeds at the pace that the target bears; until then their
+		// notifications come here.
 		return
 	}
 	s.drained = true
