Prefix log lines by part and serve HTTP with package telemetry

The readiness page now says what the VM waits for. Errors of a cut planned stop are logged by the daemon with its settings; serve used the default logger.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log/slog"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +14,7 @@
 	"github.com/mangoweir/mangoweir/internal/daemon"
 	"github.com/mangoweir/mangoweir/internal/keys"
 	"github.com/mangoweir/mangoweir/internal/settings"
+	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
 
 // stopTimeout bounds a planned stop. Flows are handed over in a second; what remains is requests in
@@ -47,11 +48,10 @@
 func loadKeys(ctx context.Context, opts *daemon.Options) error {
 	st := opts.Settings
 	if st.TLS == nil {
-		opts.Log.Warn("Peer links are not encrypted; create certificates with mangoweir keys and name them in the settings.")
 		return nil
 	}
 	files := keys.Files{Certificate: st.TLS.Cert, Key: st.TLS.Key, Authority: st.TLS.CA}
-	store, err := keys.Load(files, string(st.Name), opts.Log)
+	store, err := keys.Load(files, string(st.Name), telemetry.Part(opts.Log, "keys"))
 	if err != nil {
 		return err
 	}
@@ -61,14 +61,20 @@
 }
 
 // serve runs an entry VM until it is told to stop.
-func serve(ctx context.Context, st *settings.Settings, logs logWriter) error {
+func serve(ctx context.Context, st *settings.Settings, logs io.Writer) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
-	opts := daemon.Options{Settings: st, Log: newLogger(st.Log, logs)}
+	log, err := telemetry.NewLogger(logs, telemetry.LogSettings{
+		Format: telemetry.LogFormat(st.Log.Format), Level: st.Log.Level,
+	})
+	if err != nil {
+		return err
+	}
+	opts := daemon.Options{Settings: st, Log: log}
 	ctx, cancelWatch := context.WithCancel(ctx)
 	defer cancelWatch()
 	if err := loadKeys(ctx, &opts); err != nil {
@@ -92,7 +98,6 @@
 		}
 	}()
 	if err := d.Stop(stop); err != nil {
-		slog.Warn("Planned stop was cut short.", "part", "daemon", "error", err)
 		return errors.Annotate(err, "planned stop was cut short; requests in flight may have been lost")
 	}
 	return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -18,6 +17,7 @@
 	"github.com/mangoweir/mangoweir/internal/link"
 	"github.com/mangoweir/mangoweir/internal/platform"
 	"github.com/mangoweir/mangoweir/internal/settings"
+	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
 
 // Options configures a Daemon. Settings and Log are required.
@@ -28,6 +28,12 @@
 	Credentials link.Credentials
 }
 
+// What a VM waits for before it is ready.
+const (
+	errNoConfig = errors.ConstError("waits for a configuration; check the platform and apply a manifest")
+	errNoHolder = errors.ConstError("waits for holders of targets; check the VMs of the targets' zones")
+)
+
 // Daemon is a running entry VM.
 type Daemon struct {
 	opts     Options
@@ -36,9 +42,10 @@
 	platform *platformPort
 	links    *link.Manager
 	report   *reporter
-	http     *httpServer
+	http     *telemetry.Server
 	status   statusCalls
-	set      *metrics.Set
+	log      *slog.Logger
+	metrics  *telemetry.Metrics
 	snapshot atomic.Pointer[core.Snapshot]
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -53,15 +60,15 @@
 // configuration and peers.
 func Start(opts Options) (*Daemon, error) {
 	st := opts.Settings
-	d := &Daemon{opts: opts, set: metrics.NewSet(), drained: make(chan struct{}),
+	d := &Daemon{opts: opts, log: telemetry.Part(opts.Log, "daemon"), metrics: telemetry.NewMetrics(), drained: make(chan struct{}),
 		linksReady: make(chan struct{})}
-	d.report = newReporter(d.set, opts.Log)
-	hops, err := newHops(st, opts.Log)
+	d.report = newReporter(d.metrics.Set(), opts.Log)
+	hops, err := newHops(st, telemetry.Part(opts.Log, "traces"))
 	if err != nil {
 		return nil, err
 	}
 	if d.ports, err = newPorts(st.Listen.Fabric, st.Listen.Targets, st.FabricReturn); err != nil {
-		hops.close(opts.Log)
+		hops.close()
 		return nil, errors.Annotate(err, "open the ports for fabric and targets; check listen in the settings")
 	}
 	d.ports.hops = hops
@@ -69,7 +76,7 @@
 		Timeout: time.Duration(st.Platform.Timeout), Rate: st.Platform.Rate,
 	})
 	if err != nil {
-		hops.close(opts.Log)
+		hops.close()
 		d.ports.close()
 		return nil, err
 	}
@@ -78,19 +85,19 @@
 	if d.links, err = link.Start(link.Config{
 		Name: st.Name, Zone: st.Zone, Incarnation: incarnation(time.Now()), Listen: st.Listen.Peers,
 		Credentials: opts.Credentials, OnMessage: d.fromPeer, OnLink: d.fromLink,
-		Log: opts.Log.With("part", "link"),
+		Log: telemetry.Part(opts.Log, "link"),
 	}); err != nil {
 		cancel()
-		hops.close(opts.Log)
+		hops.close()
 		d.ports.close()
 		return nil, err
 	}
 	d.start(ctx, client)
 	if d.http, err = startHTTP(st.Listen.HTTP, d, client); err != nil {
 		d.Kill()
-		return nil, errors.Annotate(err, "open the HTTP port; check listen.http in the settings")
+		return nil, err
 	}
-	opts.Log.Info("Entry VM started.", "part", "daemon", "vm", st.Name, "zone", st.Zone,
+	d.log.Info("Entry VM started.", "vm", st.Name, "zone", st.Zone,
 		"fabric", d.FabricAddr(), "peers", d.links.Addr(), "http", d.HTTPAddr())
 	return d, nil
 }
@@ -209,26 +216,29 @@
 func (d *Daemon) PeerAddr() netip.AddrPort { return d.links.Addr() }
 
 // HTTPAddr returns the address of metrics, health and status.
-func (d *Daemon) HTTPAddr() netip.AddrPort { return d.http.addr }
+func (d *Daemon) HTTPAddr() netip.AddrPort { return unmapped(d.http.Addr()) }
 
 // Ready reports whether the VM has a configuration and knows a holder for each target in service.
-func (d *Daemon) Ready() bool {
+func (d *Daemon) Ready() bool { return d.missing() == nil }
+
+// missing returns what the VM waits for before it can serve, or nil.
+func (d *Daemon) missing() error {
 	snap := d.snapshot.Load()
 	if snap == nil || snap.Config == nil {
-		return false
+		return errNoConfig
 	}
 	for _, t := range snap.Targets {
 		if t.Holder == "" && !t.Removed && !t.ZoneOut {
-			return false
+			return errNoHolder
 		}
 	}
-	return true
+	return nil
 }
 
 // Stop makes a planned stop: the VM hands over its targets, finishes what is in flight and ends. It
 // returns early with the context's error; the VM has ended then too.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.opts.Log.Info("Planned stop started.", "part", "daemon")
+	d.log.Info("Planned stop started.")
 	d.runtime.post(core.Stop{})
 	var err error
 	select {
@@ -237,7 +247,9 @@
 		err = ctx.Err()
 	}
 	d.Kill()
-	d.opts.Log.Info("Entry VM stopped.", "part", "daemon", "drained", err == nil)
+	if err != nil {
+		d.log.Warn("Planned stop was cut short; requests in flight may have been lost.", "error", err)
+	}
 	return err
 }
 
@@ -246,14 +258,14 @@
 	d.closeOnce.Do(func() {
 		d.cancel()
 		if d.http != nil {
-			d.http.close()
+			closeHTTP(d.http)
 		}
 		d.ports.close()
 		d.links.Close()
 		d.runtime.close()
 		d.platform.wg.Wait()
 		d.wg.Wait()
-		d.ports.hops.close(d.opts.Log)
-		d.opts.Log.Info("Entry VM ended.", append([]any{"part", "daemon"}, d.report.summary()...)...)
+		d.ports.hops.close()
+		d.log.Info("Entry VM ended.", d.report.summary()...)
 	})
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,9 +1,14 @@
 package daemon
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
+	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +20,7 @@
 	"github.com/mangoweir/mangoweir/internal/platform"
 	"github.com/mangoweir/mangoweir/internal/settings"
 	standin "github.com/mangoweir/mangoweir/internal/standin/platform"
+	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
 
 // manifest returns a manifest with one service of one target.
@@ -72,7 +78,9 @@
 // startDaemon starts a VM that ends with the test.
 func startDaemon(t *testing.T, opts Options) *Daemon {
 	t.Helper()
-	opts.Log = discard
+	if opts.Log == nil {
+		opts.Log = discard
+	}
 	d, err := Start(opts)
 	if err != nil {
 		t.Fatal(err)
@@ -91,6 +99,45 @@
 	return false
 }
 
+// Guards against log lines without the prefix of their part, and against an HTTP port that lacks
+// metrics or does not say what the VM waits for.
+func TestLogAndHTTP(t *testing.T) {
+	Convey("Given a VM with a platform that is down", t, func() {
+		out := &bytes.Buffer{}
+		log, err := telemetry.NewLogger(out, telemetry.LogSettings{Format: telemetry.LogJSON})
+		So(err, ShouldBeNil)
+		d := startDaemon(t, Options{Settings: testSettings("http://127.0.0.1:1", "vm-a"), Log: log})
+		get := func(path string) (int, string) {
+			r, err := http.Get("http://" + d.HTTPAddr().String() + path)
+			So(err, ShouldBeNil)
+			defer r.Body.Close()
+			body, err := io.ReadAll(r.Body)
+			So(err, ShouldBeNil)
+			return r.StatusCode, string(body)
+		}
+		status, body := get("/readyz")
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(body, ShouldContainSubstring, "apply a manifest")
+		status, body = get("/metrics")
+		So(status, ShouldEqual, http.StatusOK)
+		So(body, ShouldContainSubstring, "mangoweir_links 0\n")
+		So(body, ShouldContainSubstring, `mangoweir_events_total{kind=`)
+		So(body, ShouldContainSubstring, "go_goroutines")
+		status, _ = get(platform.StatusPath)
+		So(status, ShouldEqual, http.StatusOK)
+		d.Kill()
+		lines := 0
+		for dec := json.NewDecoder(out); dec.More(); lines++ {
+			var line struct{ Msg, Part string }
+			So(dec.Decode(&line), ShouldBeNil)
+			So(line.Msg, ShouldContainSubstring, ": ")
+			So(line.Part, ShouldBeEmpty)
+			So([]string{"daemon", "link", "core", "carrier", "http", "traces"}, ShouldContain, strings.SplitN(line.Msg, ":", 2)[0])
+		}
+		So(lines, ShouldBeGreaterThanOrEqualTo, 3)
+	})
+}
+
 // issue creates the certificate of a VM and loads it.
 func issue(t *testing.T, dir string, name core.VMName) *keys.Store {
 	t.Helper()
--- a/internal/daemon/hops.go
+++ b/internal/daemon/hops.go
@@ -28,6 +28,7 @@
 // add spans to its trace for hours.
 type hops struct {
 	tracer *telemetry.Tracer
+	log    *slog.Logger
 	mu     sync.Mutex
 	open   map[hopKey]telemetry.Span
 	// order lists the open hops by age; entries of ended ones are skipped.
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &hops{tracer: tracer, open: map[hopKey]telemetry.Span{}}, nil
+	return &hops{tracer: tracer, log: log, open: map[hopKey]telemetry.Span{}}, nil
 }
 
 // ingress returns the trace context of a request that enters the system here.
@@ -181,7 +182,7 @@
 }
 
 // close ends all spans and exports them.
-func (h *hops) close(log *slog.Logger) {
+func (h *hops) close() {
 	if h == nil {
 		return
 	}
@@ -194,6 +195,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTraces)
 	defer cancel()
 	if err := h.tracer.Close(ctx); err != nil {
-		log.Warn("Last spans were not exported; check traces in the settings.", "error", err)
+		h.log.Warn("Last spans were not exported; check traces in the settings.", "error", err)
 	}
 }
--- a/internal/daemon/hops_test.go
+++ b/internal/daemon/hops_test.go
@@ -101,7 +101,7 @@
 		st.Traces = settings.Traces{File: filepath.Join(t.TempDir(), "spans"), Ratio: 1}
 		h, err := newHops(st, discard)
 		So(err, ShouldBeNil)
-		defer h.close(discard)
+		defer h.close()
 		for range 2 * maxOpenHops {
 			h.ingress(&core.Request{})
 		}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -13,61 +12,38 @@
 
 	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/internal/platform"
+	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
 
-// httpServer serves metrics, health, readiness and status, and passes operators' reads and writes
-// of objects on to the platform.
-type httpServer struct {
-	server http.Server
-	addr   netip.AddrPort
-}
-
-// startHTTP opens the HTTP port.
-func startHTTP(addr netip.AddrPort, d *Daemon, client *platform.Client) (*httpServer, error) {
-	listener, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return nil, err
-	}
+// startHTTP serves metrics, health, readiness and status, and passes operators' reads and writes of
+// objects on to the platform. Errors: telemetry.ErrListen.
+func startHTTP(addr netip.AddrPort, d *Daemon, client *platform.Client) (*telemetry.Server, error) {
+	d.metrics.Set().RegisterMetricsWriter(d.writeMetrics)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.writeMetrics(w) })
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok\n") })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if d.Ready() {
-			writeText(w, http.StatusOK, "ready\n")
-			return
-		}
-		writeText(w, http.StatusServiceUnavailable, "not ready: waits for the configuration or for holders of targets\n")
-	})
-	mux.HandleFunc("GET "+platform.StatusPath, func(w http.ResponseWriter, r *http.Request) {
-		st, err := d.Status(r.Context())
-		if err != nil {
-			writeText(w, http.StatusServiceUnavailable, err.Error()+"\n")
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(st)
-	})
+	mux.Handle("/", d.metrics.Handler(d.missing))
+	mux.HandleFunc("GET "+platform.StatusPath, d.serveStatus)
 	mux.Handle(platform.ObjectsPath, platform.Proxy(client))
-	local := listener.Addr().(*net.TCPAddr).AddrPort()
-	h := &httpServer{addr: netip.AddrPortFrom(local.Addr().Unmap(), local.Port())}
-	h.server = http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
-	go func() { _ = h.server.Serve(listener) }()
-	return h, nil
-}
-
-func writeText(w http.ResponseWriter, status int, text string) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(status)
-	_, _ = w.Write([]byte(text))
+	return telemetry.StartServer(addr, mux, telemetry.Part(d.opts.Log, "http"))
 }
 
-// close ends the server; calls in progress get a short time to finish.
-func (h *httpServer) close() {
+// closeHTTP ends the server; calls in progress get a short time to finish.
+func closeHTTP(s *telemetry.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if h.server.Shutdown(ctx) != nil {
-		_ = h.server.Close()
+	s.Close(ctx)
+}
+
+// unmapped returns an address with an IPv4 address in its short form.
+func unmapped(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
+
+func (d *Daemon) serveStatus(w http.ResponseWriter, r *http.Request) {
+	st, err := d.Status(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(st)
 }
 
 // statusTimeout bounds the wait for the control thread's answer.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,15 +5,11 @@
 	"io"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/mangoweir/mangoweir/core"
 )
 
-// writeMetrics writes all metrics in the text format. Values that control and the adapters keep are
-// read at this moment.
+// writeMetrics writes the values that control and the adapters keep, as they are at this moment.
 func (d *Daemon) writeMetrics(w io.Writer) {
-	d.set.WritePrometheus(w)
 	gauge := func(name string, value float64) { fmt.Fprintf(w, "mangoweir_%s %g\n", name, value) }
 	d.writeLinkMetrics(gauge)
 	fabric, targets := d.ports.fabric.Counters(), d.ports.targets.Counters()
@@ -25,7 +21,6 @@
 	if snap := d.snapshot.Load(); snap != nil {
 		d.writeSnapshotMetrics(gauge, snap)
 	}
-	metrics.WriteProcessMetrics(w)
 }
 
 // writeLinkMetrics writes the counters of peer links.
--- a/internal/daemon/reporter.go
+++ b/internal/daemon/reporter.go
@@ -15,15 +15,19 @@
 // reporter turns what happens in a VM into counters and log lines. It is safe for concurrent use.
 type reporter struct {
 	set     *metrics.Set
-	log     *slog.Logger
-	limited *telemetry.LimitedLogger
+	packets *telemetry.LimitedLogger
+	core    *telemetry.LimitedLogger
 	events  [core.NumEvents]*metrics.Counter
 	refusal [core.NumReasons][core.NumClasses][2]*metrics.Counter
 }
 
 // newReporter registers the counters in set.
 func newReporter(set *metrics.Set, log *slog.Logger) *reporter {
-	r := &reporter{set: set, log: log, limited: telemetry.NewLimitedLogger(log)}
+	r := &reporter{
+		set:     set,
+		packets: telemetry.NewLimitedLogger(telemetry.Part(log, "carrier")),
+		core:    telemetry.NewLimitedLogger(telemetry.Part(log, "core")),
+	}
 	for k := range core.NumEvents {
 		r.events[k] = set.NewCounter(fmt.Sprintf(`mangoweir_events_total{kind=%q}`, k))
 	}
@@ -46,13 +50,13 @@
 		kind = e.Kind.String()
 	}
 	r.set.GetOrCreateCounter(fmt.Sprintf(`mangoweir_bad_packets_total{port=%q,kind=%q}`, port, kind)).Inc()
-	r.limited.Log(slog.LevelWarn, "bad packet "+port+" "+kind, "Packet dropped.", "port", port, "error", err)
+	r.packets.Log(slog.LevelWarn, "bad packet "+port+" "+kind, "Packet dropped.", "port", port, "error", err)
 }
 
 // dropped counts a packet that was valid but could not be handled.
 func (r *reporter) dropped(reason string) {
 	r.set.GetOrCreateCounter(fmt.Sprintf(`mangoweir_dropped_packets_total{reason=%q}`, reason)).Inc()
-	r.limited.Log(slog.LevelWarn, "dropped "+reason, "Packet dropped.", "reason", reason)
+	r.packets.Log(slog.LevelWarn, "dropped "+reason, "Packet dropped.", "reason", reason)
 }
 
 // refused counts a refusal that was sent to a caller.
@@ -117,7 +121,7 @@
 		args = append(args, "value", e.Value)
 	}
 	subject := e.Kind.String() + " " + string(e.VM) + " " + targetName
-	r.limited.Log(level(e.Kind), subject, eventText(e.Kind), args...)
+	r.core.Log(level(e.Kind), subject, eventText(e.Kind), args...)
 }
 
 // eventText returns the log line of an event kind.
--- a/internal/link/manager.go
+++ b/internal/link/manager.go
@@ -55,7 +55,7 @@
 		peers:      map[core.VMName]*peer{},
 	}
 	if cfg.Credentials == nil {
-		cfg.Log.Warn("peer links are not encrypted, set certificates to secure them")
+		cfg.Log.Warn("peer links are not encrypted, create certificates with mangoweir keys and name them under tls in the settings")
 	}
 	m.goroutines.Go(m.acceptLoop)
 	return m, nil
--- a/internal/telemetry/errors.go
+++ b/internal/telemetry/errors.go
@@ -11,7 +11,7 @@
 	// ErrLogSettings: a log format or level is not known.
 	ErrLogSettings = errors.ConstError("invalid log settings: use format text or json and level debug, info, warn or error")
 	// ErrListen: the address for metrics cannot be opened.
-	ErrListen = errors.ConstError("cannot serve metrics: free the port or change the metrics address")
+	ErrListen = errors.ConstError("cannot serve metrics and status: free the port or change listen.http in the settings")
 	// ErrTraceSettings: the settings of traces contradict each other.
 	ErrTraceSettings = errors.ConstError("invalid trace settings: set either a file or an http(s) endpoint, and a ratio from 0 to 1")
 	// ErrTraceFile: the file for traces cannot be written.
