--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -151,6 +151,7 @@
 			Incarnation: core.Incarnation(member.GetIncarnation()),
 			Addr:        addrFromBytes(member.GetAddr()),
 			Joined:      core.Epoch(member.GetJoined()),
+			Founder:     member.GetFounder(),
 		})
 	}
 	return m
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -97,6 +97,7 @@
 			Incarnation: uint32(member.Incarnation),
 			Addr:        addrBytes(member.Addr),
 			Joined:      uint64(member.Joined),
+			Founder:     member.Founder,
 		})
 	}
 	return p
