Take only answers as proof that no peer knows a flow

A query for a non-idempotent request now has a number, and every shard of every peer answers it. Without all answers, or while a VM is silent that is a member or may still have authority, the request is refused as unknown and asked about again. Placement by an idempotent request leaves the question open.

The changed order of messages showed a third fault in TestZoneOutWhileCutOff: redirects 1 to 2 and 2 to 3, and the holder of 3 asking 1 for records. The question came back to 2 with 3 in the visited list and was taken for the return of the flow, which split it. The asking owner now stays in the trail over redirects.

--- a/core/control/decision_test.go
+++ b/core/control/decision_test.go
@@ -291,3 +291,23 @@
 		})
 	})
 }
+
+// Guards against a silent VM that is taken for one without flows although it may still serve them.
+func TestSilentPeers(t *testing.T) {
+	Convey("Given a paused VM during an outage of the platform", t, func() {
+		w := newFleet(6, 6)
+		w.platform.down = true
+		w.advance(time.Second)
+		w.vms[2].paused = true
+		w.advance(3 * time.Second)
+		Convey("it is silent, but no peer", func() {
+			So(w.vms[0].snapshot.Silent, ShouldContain, w.vms[2].name)
+			So(w.vms[0].snapshot.Peers, ShouldNotContain, w.vms[2].name)
+		})
+		Convey("it is not silent any more once it has been removed and has lost authority", func() {
+			w.platform.down = false
+			w.advance(15 * time.Second)
+			So(w.vms[0].snapshot.Silent, ShouldBeEmpty)
+		})
+	})
+}
--- a/core/control/peer.go
+++ b/core/control/peer.go
@@ -200,6 +200,10 @@
 		}
 		return true
 	})
+	// A removed VM is no longer silent once it has lost authority.
+	if c.view.last != nil && !slices.Equal(c.silentPeers(), c.view.last.Silent) {
+		c.touch(changeView)
+	}
 	for _, p := range forgotten {
 		if p.dialed {
 			c.emit(core.Hangup{Peer: p.name})
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -94,6 +94,7 @@
 		NewestGeneration: max(c.config.newest, c.generation()),
 		NewestKnownSince: c.config.newestSince,
 		Peers:            c.livePeers(),
+		Silent:           c.silentPeers(),
 		Leaving:          c.stop.leaving,
 	}
 	c.targets.all(func(id core.TargetID, t *target) bool {
@@ -150,3 +151,19 @@
 	})
 	return names
 }
+
+// silentPeers returns the names of the VMs that should be heard and are not, unless they are known to
+// be dead or have lost authority since they were removed.
+func (c *Control) silentPeers() []core.VMName {
+	var names []core.VMName
+	c.peers.all(func(name core.VMName, p *peer) bool {
+		if p.dead || p.live() || !p.watched {
+			return true
+		}
+		if c.isMember(name) || p.heard() && c.now < c.zone(p.zone).settledAt {
+			names = append(names, name)
+		}
+		return true
+	})
+	return names
+}
--- a/core/message.go
+++ b/core/message.go
@@ -123,12 +123,20 @@
 }
 
 // FlowQuery asks a peer whether it knows the target of a flow.
-type FlowQuery struct{ Flow FlowKey }
+type FlowQuery struct {
+	Flow FlowKey
+	// Seq is set when every shard of the peer has to answer, whether it knows the flow or not.
+	Seq uint64
+}
 
 // FlowReply answers a FlowQuery; Target 0 means that the flow is not known.
 type FlowReply struct {
 	Flow   FlowKey
 	Target TargetID
+	// Seq repeats that of the query. If it is set, Shard is the index of the shard that answers, and
+	// Shards the number of shards of its VM.
+	Seq           uint64
+	Shard, Shards uint32
 	// Guess is true when no holder has confirmed that the flow is on Target: it was the flow's only
 	// candidate when the sender saw a packet of it.
 	Guess bool
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -25,6 +25,8 @@
 	NewestKnownSince time.Duration
 	// Peers are the VMs that can be asked about flows, without Self.
 	Peers []VMName
+	// Silent are the VMs that may serve flows with authority but are not heard.
+	Silent []VMName
 	// Leaving is true while this VM drains.
 	Leaving bool
 }
--- a/core/traffic/doubt.go
+++ b/core/traffic/doubt.go
@@ -18,7 +18,9 @@
 
 // noteDoubt keeps what could not be asked about a flow that is placed now.
 func (s *Shard) noteDoubt(o *owner, f *core.ForwardRequest) {
-	asked := f.Queried && s.allReachable() || len(s.snap.Peers) == 0
+	// Only queries for non-idempotent requests are answered by peers that do not know the flow.
+	asked := f.Queried && !f.Request.Idempotent && !f.Unreached || len(s.snap.Peers) == 0
+	asked = asked && s.allReachable()
 	d := &doubt{peers: s.mustAsk(o) && !asked}
 	if f.Unreached {
 		for _, id := range f.Asked {
@@ -71,8 +73,10 @@
 		if s.allReachable() && s.askPeers(f) {
 			return false
 		}
-		f.Unreached = true
-		return true
+		if len(s.snap.Peers) > 0 || !s.allReachable() {
+			f.Unreached = true
+			return true
+		}
 	}
 	if !f.Unreached && s.askCandidates(o, f, d) {
 		return false
@@ -110,7 +114,8 @@
 	return true
 }
 
-// allReachable reports whether there is a link to every peer.
+// allReachable reports whether there is a link to every peer, and no VM is silent that may serve
+// flows.
 func (s *Shard) allReachable() bool {
-	return !slices.ContainsFunc(s.snap.Peers, func(p core.VMName) bool { return !s.reachable(p) })
+	return len(s.snap.Silent) == 0 && !slices.ContainsFunc(s.snap.Peers, func(p core.VMName) bool { return !s.reachable(p) })
 }
--- /dev/null
+++ b/core/traffic/doubt_test.go
@@ -0,0 +1,103 @@
+package traffic
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a posting that runs twice because a peer that knows the flow elsewhere was not heard.
+func TestUnansweredQuery(t *testing.T) {
+	Convey("Given a target taken over without handover, after the quarantine", t, func() {
+		f := newFleet(t, 2, 2)
+		f.in("a", core.Drop{Target: 1, Holder: "x", Number: 2})
+		f.in("a", core.TakeOver{Target: 1, Number: 3, FormerDiedBy: f.now})
+		f.warm()
+		f.tick(core.RequestLifetime)
+		i := 0
+		for f.vms["a"].candidates(testFlow(i))[0] != 1 {
+			i++
+		}
+		refusedUntilAnswered := func() {
+			f.request("a", posting(i, 1))
+			f.tick(2 * queryWait)
+			So(f.requests(), ShouldBeEmpty)
+			So(f.refusals, ShouldHaveLength, 1)
+			So(f.refusals[0].Run, ShouldEqual, core.RunUnknown)
+		}
+		sentOnceAnswered := func() {
+			f.request("a", posting(i, 2))
+			f.tick(2 * queryWait)
+			So(f.requests(), ShouldHaveLength, 1)
+		}
+		Convey("a posting whose query gets no answer is unknown, and a later one is sent once all answer", func() {
+			f.hold = func(_ core.VMName, m core.Message) bool {
+				_, ok := m.(*core.FlowQuery)
+				return ok
+			}
+			refusedUntilAnswered()
+			f.hold = nil
+			sentOnceAnswered()
+		})
+		Convey("an answer to an earlier query does not count", func() {
+			f.hold = func(_ core.VMName, m core.Message) bool {
+				_, ok := m.(*core.FlowReply)
+				return ok
+			}
+			refusedUntilAnswered()
+			f.request("a", posting(i, 2))
+			f.in("a", core.PeerMessage{From: "b", Msg: f.held[0].Msg})
+			f.tick(2 * queryWait)
+			So(f.requests(), ShouldBeEmpty)
+		})
+		Convey("a read does not settle the question", func() {
+			f.request("a", read(i, 9))
+			f.tick(2 * queryWait)
+			So(f.requests(), ShouldHaveLength, 1)
+			f.sent = nil
+			f.cut["b"] = true
+			refusedUntilAnswered()
+		})
+		Convey("a posting is unknown while a VM with authority is silent", func() {
+			s := f.snapshot("a")
+			s.Silent = []core.VMName{"y"}
+			f.in("a", core.SnapshotPublished{Snapshot: s})
+			refusedUntilAnswered()
+			f.publish()
+			sentOnceAnswered()
+		})
+		Convey("a query is over when every shard of every peer has answered", func() {
+			q := query{seq: 5}
+			q.hear("b", &core.FlowReply{Seq: 5, Shard: 0, Shards: 2})
+			q.hear("b", &core.FlowReply{Seq: 5, Shard: 0, Shards: 2})
+			So(q.heardAll("b"), ShouldBeFalse)
+			q.hear("b", &core.FlowReply{Seq: 4, Shard: 1, Shards: 2})
+			So(q.heardAll("b"), ShouldBeFalse)
+			q.hear("b", &core.FlowReply{Seq: 5, Shard: 1, Shards: 2})
+			So(q.heardAll("b"), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a flow that is split because its holder's question for records comes back through
+// another candidate and looks like the return of the flow.
+func TestQuestionThroughRedirects(t *testing.T) {
+	Convey("Given a flow on target 3 that came from target 1, and redirects from 1 to 2 and 2 to 3", t, func() {
+		f := newFleet(t, 3, 3)
+		f.warm()
+		flow := testFlow(1)
+		f.owner(1).setFlow(flow, 2, f.now)
+		f.owner(2).setFlow(flow, 3, f.now)
+		f.owner(3).setFlow(flow, 3, f.now)
+		f.owner(3).origins.put(flow, 1, f.now+time.Minute)
+		Convey("a posting that reaches 2 runs on 3, and the flow stays there", func() {
+			f.in("b", core.PeerMessage{From: "a", Msg: &core.ForwardRequest{Request: posting(1, 1), Target: 2,
+				Known: true, Cleared: true, Ingress: "a", Hops: 1}})
+			So(f.requests(), ShouldHaveLength, 1)
+			So(f.last().Target, ShouldEqual, 3)
+			So(f.owner(2).flows.get(&flow).target, ShouldEqual, 3)
+		})
+	})
+}
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -132,6 +132,16 @@
 	return len(c) > 0 && c[len(c)-1] == o.id
 }
 
+// waitingAsker returns the part of a request's trail that leads back to the owner that serves the flow
+// and only asks for records, or nil.
+func waitingAsker(f *core.ForwardRequest) []core.TargetID {
+	n := len(f.Trail)
+	if n == 0 || !slices.Contains(f.Asked, f.Trail[n-1]) {
+		return nil
+	}
+	return f.Trail[n-1:]
+}
+
 // redirect forwards a request of a flow that this owner placed on another target.
 func (s *Shard) redirect(o *owner, target core.TargetID, f *core.ForwardRequest) {
 	flow := f.Request.Flow
@@ -142,7 +152,7 @@
 	}
 	f.Asked = append(slices.Clone(f.Asked), f.Target)
 	f.Target = target
-	f.Trail = nil
+	f.Trail = waitingAsker(f)
 	f.Known = true
 	f.Cleared = sure
 	f.Moved = moved || !sure
--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -13,6 +13,8 @@
 	// budget is the number of broadcasts that the rate limit allows now.
 	budget float64
 	at     time.Duration
+	// seq is that of the last broadcast that every shard has to answer.
+	seq uint64
 }
 
 // query is a request that waits for what peers know about its flow.
@@ -21,6 +23,36 @@
 	since time.Duration
 	// guess is the target that a peer guessed; it counts when no peer knows better in time.
 	guess core.TargetID
+	// seq is that of the broadcast; 0 when only shards that know the flow answer.
+	seq uint64
+	// heard lists the shards that have answered.
+	heard []peerShard
+}
+
+// peerShard is a shard of a peer with the number of shards that the peer has.
+type peerShard struct {
+	vm            core.VMName
+	index, number uint32
+}
+
+// hear notes an answer to the broadcast.
+func (q *query) hear(from core.VMName, m *core.FlowReply) {
+	x := peerShard{from, m.Shard, m.Shards}
+	if q.seq != 0 && m.Seq == q.seq && m.Shard < m.Shards && !slices.Contains(q.heard, x) {
+		q.heard = append(q.heard, x)
+	}
+}
+
+// heardAll reports whether every shard of a VM has answered.
+func (q *query) heardAll(vm core.VMName) bool {
+	n, number := uint32(0), uint32(1)
+	for _, x := range q.heard {
+		if x.vm == vm {
+			n++
+			number = x.number
+		}
+	}
+	return n >= number
 }
 
 func newQueries() queries { return queries{budget: queriesPerSecond} }
@@ -52,11 +84,20 @@
 			return true
 		}
 	}
-	if len(s.queries.waiting) >= maxQueries || !s.askedFor(f.Request.Flow) && !s.broadcast(f.Request.Flow) {
+	if len(s.queries.waiting) >= maxQueries {
+		return false
+	}
+	q := query{f: f, since: s.now}
+	if !f.Request.Idempotent {
+		// Silence proves nothing: the link to a peer may have failed a moment ago.
+		q.seq = s.nextQuerySeq()
+	}
+	joins := q.seq == 0 && s.askedFor(f.Request.Flow)
+	if !joins && !s.broadcast(&core.FlowQuery{Flow: f.Request.Flow, Seq: q.seq}) {
 		return false
 	}
 	f.Queried = true
-	s.queries.waiting = append(s.queries.waiting, query{f: f, since: s.now})
+	s.queries.waiting = append(s.queries.waiting, q)
 	return true
 }
 
@@ -70,26 +111,53 @@
 	return false
 }
 
-func (s *Shard) broadcast(flow core.FlowKey) bool {
+// nextQuerySeq returns a number that no other shard of this VM uses: replies reach all of them.
+func (s *Shard) nextQuerySeq() uint64 {
+	step := uint64(s.opts.TokenStep)
+	if s.queries.seq == 0 {
+		s.queries.seq = step + uint64(s.opts.FirstToken)
+		return s.queries.seq
+	}
+	s.queries.seq += step
+	return s.queries.seq
+}
+
+func (s *Shard) broadcast(m *core.FlowQuery) bool {
 	if len(s.snap.Peers) == 0 || !s.queries.allow(s.now) {
 		return false
 	}
 	for _, p := range s.snap.Peers {
 		if s.reachable(p) {
-			s.send(p, &core.FlowQuery{Flow: flow})
+			s.send(p, m)
 		}
 	}
 	// The notes of other shards of this VM count as well.
-	s.send(s.opts.Self, &core.FlowQuery{Flow: flow})
+	s.send(s.opts.Self, m)
 	return true
 }
 
-// onQuery tells a peer where a flow is. Only shards that know the flow answer.
+// answeredByAll reports whether all shards of all peers have answered a query.
+func (s *Shard) answeredByAll(q *query) bool {
+	return s.allReachable() && q.heardAll(s.opts.Self) && !slices.ContainsFunc(s.snap.Peers, func(p core.VMName) bool {
+		return !q.heardAll(p)
+	})
+}
+
+// onQuery tells a peer where a flow is. Shards that do not know the flow answer only a query with
+// a number.
 func (s *Shard) onQuery(from core.VMName, m *core.FlowQuery) {
 	target, guess := s.whereIs(m.Flow)
-	if target != 0 {
-		s.send(from, &core.FlowReply{Flow: m.Flow, Target: target, Guess: guess})
+	if target == 0 && m.Seq == 0 {
+		return
 	}
+	s.send(from, &core.FlowReply{
+		Flow:   m.Flow,
+		Target: target,
+		Guess:  guess,
+		Seq:    m.Seq,
+		Shard:  s.opts.FirstToken,
+		Shards: s.opts.TokenStep,
+	})
 }
 
 // whereIs returns the target of a flow by its placement, else by the ingress note, and whether the
@@ -112,7 +180,10 @@
 }
 
 // onReply sends the waiting requests of a flow to its target and confirms redirects.
-func (s *Shard) onReply(m *core.FlowReply) {
+func (s *Shard) onReply(from core.VMName, m *core.FlowReply) {
+	for i := range s.queries.waiting {
+		s.queries.waiting[i].hear(from, m)
+	}
 	if m.Target == 0 {
 		return
 	}
@@ -231,6 +302,9 @@
 			s.queries.waiting = append(s.queries.waiting, q)
 			continue
 		}
+		if !q.f.Request.Idempotent && !s.answeredByAll(&q) {
+			q.f.Unreached = true
+		}
 		s.resume(q, q.guess)
 	}
 }
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -82,9 +82,10 @@
 	}
 	e.touch(s.now)
 	if f.Known && e.target != o.id && slices.Contains(f.Asked, e.target) && !o.moved.has(r.Flow, s.now) &&
-		!o.evicted(s.now) {
+		!o.evicted(s.now) && !slices.Contains(f.Trail, e.target) {
 		// The flow comes back from the target that it was once placed on. A flow that was moved away
-		// does not: its new holder only asks for records, through other candidates.
+		// does not: its new holder only asks for records, through other candidates. Neither does one whose
+		// holder is still in the trail.
 		o.origins.put(r.Flow, e.target, s.now+core.RequestLifetime)
 		o.setFlow(r.Flow, o.id, s.now)
 	}
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -167,7 +167,7 @@
 	case *core.FlowQuery:
 		s.onQuery(from, m)
 	case *core.FlowReply:
-		s.onReply(m)
+		s.onReply(from, m)
 	case *core.RecordStarted:
 		s.onRecordStarted(from, m)
 	case *core.RecordAck:
--- a/internal/coretest/trace.go
+++ b/internal/coretest/trace.go
@@ -61,9 +61,9 @@
 	case *core.FlowLearned:
 		return x.Flow, "learned " + w.name(x.Target)
 	case *core.FlowQuery:
-		return x.Flow, "query"
+		return x.Flow, fmt.Sprintf("query seq %d", x.Seq)
 	case *core.FlowReply:
-		return x.Flow, "reply " + w.name(x.Target)
+		return x.Flow, fmt.Sprintf("reply %s guess %v seq %d shard %d", w.name(x.Target), x.Guess, x.Seq, x.Shard)
 	case *core.RecordStarted:
 		return x.Flow, "record " + w.name(x.Target)
 	case *core.RequestOutcome:
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -35,10 +35,11 @@
 		p := b.FlowLearned
 		return &core.FlowLearned{Flow: d.flow(p.GetFlow()), Target: core.TargetID(p.GetTarget())}
 	case *wirepb.Envelope_FlowQuery:
-		return &core.FlowQuery{Flow: d.flow(b.FlowQuery.GetFlow())}
+		return &core.FlowQuery{Flow: d.flow(b.FlowQuery.GetFlow()), Seq: b.FlowQuery.GetSeq()}
 	case *wirepb.Envelope_FlowReply:
 		p := b.FlowReply
-		return &core.FlowReply{Flow: d.flow(p.GetFlow()), Target: core.TargetID(p.GetTarget()), Guess: p.GetGuess()}
+		return &core.FlowReply{Flow: d.flow(p.GetFlow()), Target: core.TargetID(p.GetTarget()), Guess: p.GetGuess(),
+			Seq: p.GetSeq(), Shard: p.GetShard(), Shards: p.GetShards()}
 	case *wirepb.Envelope_RecordStarted:
 		return d.recordStarted(b.RecordStarted)
 	case *wirepb.Envelope_RecordAck:
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -26,10 +26,14 @@
 		env.Body = &wirepb.Envelope_FlowLearned{FlowLearned: &wirepb.FlowLearned{
 			Flow: encodeFlow(m.Flow), Target: uint32(m.Target)}}
 	case *core.FlowQuery:
-		env.Body = &wirepb.Envelope_FlowQuery{FlowQuery: &wirepb.FlowQuery{Flow: encodeFlow(m.Flow)}}
+		env.Body = &wirepb.Envelope_FlowQuery{FlowQuery: &wirepb.FlowQuery{Flow: encodeFlow(m.Flow), Seq: m.Seq}}
 	case *core.FlowReply:
 		env.Body = &wirepb.Envelope_FlowReply{FlowReply: &wirepb.FlowReply{
-			Flow: encodeFlow(m.Flow), Target: uint32(m.Target), Guess: m.Guess}}
+			Flow: encodeFlow(m.Flow), Target: uint32(m.Target), Guess: m.Guess,
+			Seq:    m.Seq,
+			Shard:  m.Shard,
+			Shards: m.Shards,
+		}}
 	case *core.RecordStarted:
 		env.Body = &wirepb.Envelope_RecordStarted{RecordStarted: encodeRecordStarted(m)}
 	case *core.RecordAck:
