Acknowledge and reject targets' messages, match cancels by message id

The holder rejects notifications of feeds that no shard knows with the new action RejectAnswer, at most 8 per shard and tick. Confirmable messages of targets are acknowledged, unless they are notifications for another process, which the core may reject. A CoAP reset names only a message id, so it is matched with RequestID.CancelledBy. A VM's links, control and attempt tokens now share one incarnation; they were taken from the clock one by one.

--- a/core/action.go
+++ b/core/action.go
@@ -48,6 +48,16 @@
 	Trace        TraceContext
 }
 
+// RejectAnswer tells a target that a notification belongs to no feed that this VM knows, so that the
+// target ends that feed.
+type RejectAnswer struct {
+	Target TargetID
+	Addr   netip.AddrPort
+	Flow   FlowKey
+	// Payload is the target's message.
+	Payload []byte
+}
+
 // RunStatus says whether a refused request may have run.
 type RunStatus uint8
 
@@ -233,6 +243,7 @@
 
 func (SendTarget) isAction()      {}
 func (AnswerCaller) isAction()    {}
+func (RejectAnswer) isAction()    {}
 func (RefuseCaller) isAction()    {}
 func (SendPeer) isAction()        {}
 func (PublishSnapshot) isAction() {}
--- a/core/input.go
+++ b/core/input.go
@@ -18,7 +18,8 @@
 	MethodSubscribe
 	// MethodUnsubscribe closes a live feed.
 	MethodUnsubscribe
-	// MethodCancel withdraws the request with the same id (a CoAP reset).
+	// MethodCancel withdraws the request with the same id, or the one that is CancelledBy it (a CoAP
+	// reset).
 	MethodCancel
 )
 
--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -119,6 +119,9 @@
 		return
 	}
 	fd := s.feeds[m.Token]
+	if fd == nil && m.Status == core.AnswerNotification {
+		s.reject(m)
+	}
 	if fd == nil || m.From != fd.addr || m.Flow != fd.req.Flow {
 		s.event(core.EventAnswerDropped, 0)
 		return
--- a/core/traffic/feed.go
+++ b/core/traffic/feed.go
@@ -198,7 +198,7 @@
 // cancelFeed ends the feed whose registration has the given id. It reports whether there is one.
 func (s *Shard) cancelFeed(o *owner, key reqKey) bool {
 	for _, fd := range o.feeds.flows[key.flow] {
-		if fd.req.ID == key.id {
+		if withdraws(key.id, fd.req.ID) {
 			s.endFeed(fd)
 			return true
 		}
--- a/core/traffic/helpers_test.go
+++ b/core/traffic/helpers_test.go
@@ -37,6 +37,7 @@
 	sent     []core.SendTarget
 	answers  []core.AnswerCaller
 	refusals []core.RefuseCaller
+	rejects  []core.RejectAnswer
 	events   []core.Event
 	loads    []core.LoadChanged
 	holders  []core.HolderChanged
@@ -148,6 +149,8 @@
 			f.answers = append(f.answers, a)
 		case core.RefuseCaller:
 			f.refusals = append(f.refusals, a)
+		case core.RejectAnswer:
+			f.rejects = append(f.rejects, a)
 		case core.Event:
 			f.events = append(f.events, a)
 		case core.LoadChanged:
--- a/core/traffic/limits.go
+++ b/core/traffic/limits.go
@@ -51,6 +51,9 @@
 	// unreachableComeBack covers the time in which a failed holder is replaced.
 	unreachableComeBack = 2 * time.Second
 
+	// rejectsPerTick bounds the rejected notifications, as each needs a look at all targets.
+	rejectsPerTick = 8
+
 	maxRetries = 2
 	// retryShare is the part of a request that each first attempt adds to the retry budget.
 	retryShare = 0.1
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -245,7 +245,7 @@
 // cancelRequest withdraws the request or the feed with the given id. It reports whether it is here.
 func (s *Shard) cancelRequest(o *owner, key reqKey) bool {
 	ended := s.cancelFeed(o, key)
-	r := o.active[key]
+	r := o.withdrawn(key)
 	if r == nil {
 		return ended
 	}
@@ -260,6 +260,20 @@
 	return true
 }
 
+// withdrawn returns the request that a cancellation is for, or nil. A CoAP reset names no token, so
+// that it cannot be looked up; the requests that have not ended are few.
+func (o *owner) withdrawn(cancel reqKey) *request {
+	if r := o.active[cancel]; r != nil {
+		return r
+	}
+	for _, r := range o.live {
+		if r.key.flow == cancel.flow && r.state != reqEnded && withdraws(cancel.id, r.key.id) {
+			return r
+		}
+	}
+	return nil
+}
+
 // tickRequests expires requests that wait. Attempts in flight are expired by expireAttempts.
 func (s *Shard) tickRequests(o *owner) {
 	if len(o.live) == 0 {
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -57,12 +57,14 @@
 	retryFund float64
 	feeds     map[core.AttemptToken]*feed
 	oldFeeds  []oldFeed
-	backups   map[core.TargetID]*backupCopy
-	duties    map[core.TargetID]backupDuty
-	watches   watches
-	incoming  map[core.TargetID]*handoverIn
-	queries   queries
-	recent    recentPlacements
+	// rejects counts the notifications of unknown feeds since the last tick.
+	rejects  int
+	backups  map[core.TargetID]*backupCopy
+	duties   map[core.TargetID]backupDuty
+	watches  watches
+	incoming map[core.TargetID]*handoverIn
+	queries  queries
+	recent   recentPlacements
 	// answerBytes is the size of the stored answers of all records.
 	answerBytes int
 }
@@ -221,6 +223,7 @@
 
 // onTick advances everything that depends on time, in bounded steps.
 func (s *Shard) onTick() {
+	s.rejects = 0
 	if s.snap == nil {
 		return
 	}
--- a/core/traffic/watch.go
+++ b/core/traffic/watch.go
@@ -77,7 +77,7 @@
 		if w.ended || w.req.Flow != r.Flow {
 			continue
 		}
-		if w.req.ID == r.ID || r.Method == core.MethodUnsubscribe && t.flows[r.Flow] == 1 {
+		if withdraws(r.ID, w.req.ID) || r.Method == core.MethodUnsubscribe && t.flows[r.Flow] == 1 {
 			return feedKeyOf(&w.req), true
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,10 +45,12 @@
 	http     *telemetry.Server
 	status   statusCalls
 	log      *slog.Logger
-	metrics  *telemetry.Metrics
-	snapshot atomic.Pointer[core.Snapshot]
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	// incarnation is the same for links, control and attempt tokens.
+	incarnation core.Incarnation
+	metrics     *telemetry.Metrics
+	snapshot    atomic.Pointer[core.Snapshot]
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
 	// linksReady is closed once links can be used; peers may connect before Start returns.
 	linksReady chan struct{}
 	drained    chan struct{}
@@ -60,7 +62,7 @@
 // configuration and peers.
 func Start(opts Options) (*Daemon, error) {
 	st := opts.Settings
-	d := &Daemon{opts: opts, log: telemetry.Part(opts.Log, "daemon"), metrics: telemetry.NewMetrics(), drained: make(chan struct{}),
+	d := &Daemon{opts: opts, incarnation: incarnation(time.Now()), log: telemetry.Part(opts.Log, "daemon"), metrics: telemetry.NewMetrics(), drained: make(chan struct{}),
 		linksReady: make(chan struct{})}
 	d.report = newReporter(d.metrics.Set(), opts.Log)
 	hops, err := newHops(st, telemetry.Part(opts.Log, "traces"))
@@ -83,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	if d.links, err = link.Start(link.Config{
-		Name: st.Name, Zone: st.Zone, Incarnation: incarnation(time.Now()), Listen: st.Listen.Peers,
+		Name: st.Name, Zone: st.Zone, Incarnation: d.incarnation, Listen: st.Listen.Peers,
 		Credentials: opts.Credentials, OnMessage: d.fromPeer, OnLink: d.fromLink,
 		Log: telemetry.Part(opts.Log, "link"),
 	}); err != nil {
@@ -106,12 +108,12 @@
 func (d *Daemon) start(ctx context.Context, client *platform.Client) {
 	st := d.opts.Settings
 	d.runtime = newRuntime(control.Options{
-		Self: st.Name, Zone: st.Zone, Addr: d.announced(), Incarnation: incarnation(time.Now()),
+		Self: st.Name, Zone: st.Zone, Addr: d.announced(), Incarnation: d.incarnation,
 		Seeds: seeds(st), Decode: contract.Decode, Seed: seed(st.Name),
 	}, max(st.TrafficThreads, 1), d)
 	d.runtime.published = &d.snapshot
 	d.ports.snapshot, d.ports.post = &d.snapshot, d.runtime.post
-	d.ports.report = d.report
+	d.ports.report, d.ports.source = d.report, core.NewAttemptSource(st.Name, d.incarnation)
 	d.platform = &platformPort{client: client, zone: st.Zone, runtime: d.runtime,
 		snapshot: d.snapshot.Load, ctx: ctx}
 	close(d.linksReady)
@@ -179,6 +181,8 @@
 		d.ports.answerCaller(a)
 	case core.RefuseCaller:
 		d.ports.refuseCaller(a)
+	case core.RejectAnswer:
+		d.ports.rejectAnswer(a)
 	case core.SendPeer:
 		d.sendPeer(a)
 	case core.Dial:
--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -22,7 +22,9 @@
 	report       *reporter
 	hops         *hops
 	probes       probes
-	buffers      sync.Pool
+	// source is that of the attempts of this process.
+	source  core.AttemptSource
+	buffers sync.Pool
 }
 
 // newPorts opens the sockets.
@@ -83,7 +85,49 @@
 	}
 	answer.Flow.Service = id
 	p.hops.fromTarget(&answer)
-	p.post(answer)
+	if p.post(answer) {
+		p.acknowledge(&answer, data)
+	}
+}
+
+// acknowledge confirms a target's message, which the target repeats otherwise. A target in a zone
+// that was taken out gets no packets. Notifications for another process are left to the core, which
+// may reject them: a target that got an acknowledgement ignores the reset.
+func (p *ports) acknowledge(m *core.TargetAnswer, datagram []byte) {
+	other := core.AttemptSource(m.Token>>32) != p.source
+	if !carrier.NeedsAck(m.Payload) || m.Status == core.AnswerNotification && other || !p.maySend(m) {
+		return
+	}
+	data, err := carrier.AppendAck(nil, datagram)
+	if err == nil {
+		err = p.targets.Write(data, m.From)
+	}
+	if err != nil {
+		p.report.dropped("write")
+	}
+}
+
+// maySend reports whether a message came from a target that gets packets. Confirmable messages are
+// rare, so that a look at all targets is cheap enough.
+func (p *ports) maySend(m *core.TargetAnswer) bool {
+	for _, t := range p.snapshot.Load().Targets {
+		if t.Target.Addr == m.From && t.Target.Service == m.Flow.Service && !t.ZoneOut {
+			return true
+		}
+	}
+	return false
+}
+
+// rejectAnswer makes a target end a feed.
+func (p *ports) rejectAnswer(a core.RejectAnswer) {
+	p.send(p.targets, a.Addr, a.Flow.Service, func(dst []byte, service netip.AddrPort) ([]byte, error) {
+		h := carrier.Header{Source: service, Destination: a.Flow.CallerAddr()}
+		datagram, err := carrier.AppendHeader(nil, h)
+		if err != nil {
+			return dst, err
+		}
+		return carrier.AppendReset(dst, append(datagram, a.Payload...))
+	})
 }
 
 // serviceAt returns the service behind an address of the configuration in force.
