--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 
 check: fmtcheck vet lint test
 
+# Runs a deployment with callers in one process for less than a minute.
+demo:
+	$(GO) run ./cmd/mangoweir demo
+
 # Prints the figures of docs/design.md 1.5; ends by itself within 10 minutes.
 bench:
 	$(GO) run ./cmd/bench
@@ -47,6 +51,9 @@
 FUZZTIME ?= 30s
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/wire
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/contract
+	$(GO) test -run '^$$' -fuzz FuzzDecodeRequest -fuzztime $(FUZZTIME) ./internal/carrier
+	$(GO) test -run '^$$' -fuzz FuzzDecodeAnswer -fuzztime $(FUZZTIME) ./internal/carrier
 
 # Measures the slopes of docs/CAPACITY.md.
 capacity:
