--- a/internal/wire/generate_test.go
+++ b/internal/wire/generate_test.go
@@ -128,10 +128,10 @@
 		},
 		func() core.Message { return &core.FlowLearned{Flow: s.flow(), Target: s.target()} },
 		func() core.Message { return &core.FlowQuery{Flow: s.flow(), Seq: s.u64()} },
-		func() core.Message { 
+		func() core.Message {
 			return &core.FlowReply{Flow: s.flow(), Target: core.TargetID(s.u32()), Guess: s.bool(), Seq: s.u64(),
 				Shard: s.u32(), Shards: s.u32()}
-		 },
+		},
 		func() core.Message {
 			return &core.RecordStarted{Target: s.target(), Number: number(), Flow: s.flow(), ID: s.id(), Seq: s.u64()}
 		},
