--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -31,6 +31,13 @@
 // sites numbers the deployments, each of which has loopback addresses of its own.
 var sites atomic.Int32
 
+// siteNumber returns the second number of a site's loopback addresses. It depends on the process, so
+// that two test runs on one machine hardly ever meet.
+func siteNumber() int {
+	const first, runs, perRun = 10, 24, 10
+	return first + os.Getpid()%runs*perRun + int(sites.Add(1))%perRun
+}
+
 // siteKey is the key of a script's site among the values of its environment.
 type siteKey struct{}
 
@@ -75,7 +82,7 @@
 	if p := filepath.SplitList(ts.Getenv("PATH")); err != nil && len(p) > 0 {
 		binary = filepath.Join(p[0], "mangoweir")
 	}
-	s, err := newSite(ts.MkAbs("."), binary, int(sites.Add(1))+100, vms, targets)
+	s, err := newSite(ts.MkAbs("."), binary, siteNumber(), vms, targets)
 	ts.Check(err)
 	holder := siteOf(ts)
 	moveSite(holder, s)
--- a/internal/platform/objects.go
+++ b/internal/platform/objects.go
@@ -25,7 +25,7 @@
 const ManifestKey = "config/manifest"
 
 // MembersKey returns the key of a zone's member list; its version is the epoch.
-func MembersKey(zone core.ZoneName) string { return "zones/" + string(zone) + "/members" }
+func MembersKey(zone core.ZoneName) string { return core.MembersObject(zone) }
 
 // StatusKey returns the key of a zone's status.
 func StatusKey(zone core.ZoneName) string { return "zones/" + string(zone) + "/status" }
