Ask again about flows accepted because of a stale note

An ingress VM that had only guessed the primary asked the successor to renew the flow's feed and stated that the flow was known there. The successor accepted it, and as the flow had no other candidate nothing was left to ask. Ruled out: the queries, which were not made at all.

A renewal by an ingress VM with a guess does not claim to know the target any more, so the successor asks peers and finds the flow. A flow accepted because of a note during the rebuild stays in doubt until peers have answered.

The check now grants 2 s from the moment at which a peer in reach has the generation, as section 4.4 of the design states.

--- a/core/traffic/doubt.go
+++ b/core/traffic/doubt.go
@@ -38,7 +38,8 @@
 }
 
 // doubtOthers notes that a flow was accepted because of a claim that may be stale. The holders of
-// its other candidates, and those that the request has passed, know better.
+// its other candidates, and those that the request has passed, know better, and after the loss of a
+// former holder's redirects any peer may.
 func (s *Shard) doubtOthers(o *owner, f *core.ForwardRequest) {
 	ask := s.candidates(f.Request.Flow)
 	for _, id := range f.Asked {
@@ -47,8 +48,9 @@
 		}
 	}
 	ask = slices.DeleteFunc(ask, func(id core.TargetID) bool { return id == o.id })
-	if len(ask) > 0 {
-		o.doubts[f.Request.Flow] = &doubt{ask: ask}
+	peers := s.mustAsk(o) && !f.Queried
+	if peers || len(ask) > 0 {
+		o.doubts[f.Request.Flow] = &doubt{ask: ask, peers: peers}
 	}
 }
 
--- a/core/traffic/doubt_test.go
+++ b/core/traffic/doubt_test.go
@@ -60,6 +60,17 @@
 			f.cut["b"] = true
 			refusedUntilAnswered()
 		})
+		Convey("a flow accepted because of a note leaves the question open", func() {
+			f.hold = func(_ core.VMName, m core.Message) bool {
+				_, ok := m.(*core.FlowQuery)
+				return ok
+			}
+			f.in("a", core.PeerMessage{From: "b", Msg: &core.ForwardRequest{Request: read(i, 9), Target: 1,
+				Known: true, Ingress: "b", Hops: 1}})
+			So(f.requests(), ShouldHaveLength, 1)
+			f.sent = nil
+			refusedUntilAnswered()
+		})
 		Convey("a posting is unknown while a VM with authority is silent", func() {
 			s := f.snapshot("a")
 			s.Silent = []core.VMName{"y"}
@@ -101,3 +112,27 @@
 		})
 	})
 }
+
+// Guards against a feed that splits its flow: the lost holder had redirected the flow, and its ingress
+// VM only guessed the target.
+func TestRenewalOfGuess(t *testing.T) {
+	Convey("Given a feed whose ingress VM guessed the target, the renewal claims nothing", t, func() {
+		f := newFleet(t, 3, 1)
+		f.warm()
+		r := subscribe(1, 1)
+		c := f.vms["c"]
+		c.notes.put(r.Flow, 1, f.now).seen |= guessFlag
+		c.watches.add(&watch{req: r, holder: "a", until: f.now + watchTime})
+		f.hold = func(_ core.VMName, m core.Message) bool {
+			fr, ok := m.(*core.ForwardRequest)
+			return ok && fr.Renewal
+		}
+		f.cut["a"] = true
+		f.in("c", core.LinkEvent{Peer: "a", State: core.LinkDown})
+		f.views[1].Holder, f.views[1].Desired = "b", "b"
+		f.publishTo("c")
+		f.tick(time.Second)
+		So(f.held, ShouldHaveLength, 1)
+		So(f.held[0].Msg.(*core.ForwardRequest).Known, ShouldBeFalse)
+	})
+}
--- a/core/traffic/watch.go
+++ b/core/traffic/watch.go
@@ -157,6 +157,9 @@
 	w.holder = v.Holder
 	w.changedAt = 0
 	if lost {
-		s.dispatch(s.renewalFor(w.req, e.target))
+		f := s.renewalFor(w.req, e.target)
+		// The lost holder may have redirected a flow that was only guessed to be on its target.
+		f.Known = e.seen&guessFlag == 0
+		s.dispatch(f)
 	}
 }
--- a/internal/coretest/target.go
+++ b/internal/coretest/target.go
@@ -245,14 +245,20 @@
 	return since, gen, out
 }
 
-// updatedPeerInReach reports whether a VM has, or can reach a VM that has, a generation.
+// peerUpdateTime is the time in which a VM takes a generation over from a peer that has it.
+const peerUpdateTime = 2 * time.Second
+
+// updatedPeerInReach reports whether a VM has a generation, or can reach a VM that has had it for
+// peerUpdateTime. After an outage of the platform the first VM may get it long after its acceptance.
 func (w *World) updatedPeerInReach(m *machine, gen core.Generation) bool {
 	if m.gen >= gen {
 		return true
 	}
 	for _, n := range w.order {
 		p := w.vms[n]
-		if p != m && p.alive && !p.paused && p.gen >= gen && !w.severed(m, string(n), p.info.Zone) {
+		since, ok := p.hasSince(gen)
+		ok = ok && w.now-since > peerUpdateTime
+		if p != m && p.alive && !p.paused && ok && !w.severed(m, string(n), p.info.Zone) {
 			return true
 		}
 	}
--- a/internal/coretest/world.go
+++ b/internal/coretest/world.go
@@ -71,6 +71,12 @@
 	lastAt  map[linkKey]time.Duration
 }
 
+// install is the time at which a VM installed a generation.
+type install struct {
+	gen core.Generation
+	at  time.Duration
+}
+
 // machine is an entry VM with its process.
 type machine struct {
 	info    core.ListedVM
@@ -85,6 +91,8 @@
 	dials  map[core.VMName]bool
 	links  map[core.VMName]bool
 	gen    core.Generation
+	// installs lists the generations that the present process has installed.
+	installs []install
 	// Bytes and Messages are counted per VM by kind of traffic.
 	ControlBytes    uint64
 	ControlMessages uint64
@@ -171,7 +179,7 @@
 	}
 	m.inc++
 	m.alive, m.paused, m.drained, m.silent = true, false, false, false
-	m.queued, m.gen = nil, 0
+	m.queued, m.gen, m.installs = nil, 0, nil
 	m.dials, m.links = map[core.VMName]bool{}, map[core.VMName]bool{}
 	m.core = w.Opts.NewVM(vm.Options{Shards: w.Opts.Shards, Control: control.Options{
 		Self: name, Zone: zone, Addr: m.info.Addr, Incarnation: m.inc, Seeds: w.seeds(name),
@@ -350,6 +358,17 @@
 		w.violate("config of %s reverted from %d to %d", m.info.Name, m.gen, gen)
 	}
 	m.gen = gen
+	m.installs = append(m.installs, install{gen, w.now})
+}
+
+// hasSince returns since when a VM has a generation or a newer one, if it has.
+func (m *machine) hasSince(gen core.Generation) (time.Duration, bool) {
+	for _, i := range m.installs {
+		if i.gen >= gen {
+			return i.at, true
+		}
+	}
+	return 0, false
 }
 
 // Generation returns the generation in force on a VM.
