--- a/core/vm/property_test.go
+++ b/core/vm/property_test.go
@@ -97,3 +97,78 @@
 		}
 	})
 }
+
+// fleet mixes planned changes and keeps to what operators do: at least two VMs and three targets stay.
+type fleet struct {
+	w *coretest.World
+	d coretest.Deployment
+	// stopped lists the VMs that were stopped and not started again.
+	stopped map[core.VMName]bool
+	drained map[string]bool
+	joined  int
+}
+
+func (f *fleet) stop(n int) {
+	if name := vmOf(f.d, n); !f.stopped[name] && f.d.VMs-len(f.stopped) > 2 {
+		f.stopped[name] = true
+		f.w.Stop(name)
+	}
+}
+
+// start replaces a stopped VM once it has ended.
+func (f *fleet) start(n int) {
+	if name := vmOf(f.d, n); f.stopped[name] && !f.w.Alive(name) {
+		delete(f.stopped, name)
+		f.w.StartVM(name, f.d.Zones[n%f.d.VMs%len(f.d.Zones)])
+	}
+}
+
+func (f *fleet) drain(n int) {
+	t := f.d.Target(n % f.d.Targets)
+	if !f.drained[t.Name] && f.d.Targets-len(f.drained) > 3 {
+		f.drained[t.Name] = true
+		f.w.ChangeTarget(t.Name, func(t *core.Target) { t.State = core.TargetDraining })
+	}
+}
+
+func (f *fleet) join(int) {
+	const most = 4
+	if f.joined < most {
+		f.w.AddConfiguredTarget(f.d, f.d.Target(20+f.joined))
+		f.joined++
+	}
+}
+
+func (f *fleet) weight(n int) {
+	f.w.ChangeTarget(f.d.Target(n%f.d.Targets).Name, func(t *core.Target) { t.Weight = 0.5 + float64(n%3)/2 })
+}
+
+// Guards against flows that break, cold targets that are overrun and all other violations when planned
+// changes come in any order and at the same time.
+func TestPlannedChangesInAnyMix(t *testing.T) {
+	changes := []struct {
+		name string
+		run  func(f *fleet, n int)
+	}{
+		{"stop", (*fleet).stop}, {"start", (*fleet).start}, {"drain", (*fleet).drain},
+		{"join", (*fleet).join}, {"weight", (*fleet).weight},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		d := coretest.Randstad()
+		d.VMs = rapid.IntRange(3, 8).Draw(t, "VMs")
+		d.Targets = 6
+		d.ServiceTime = 100 * time.Millisecond
+		w := d.Start(rough(rapid.Uint64Range(1, 1<<32).Draw(t, "seed")))
+		d.AddLoad(w, 40, 0.4)
+		f := &fleet{w: w, d: d, stopped: map[core.VMName]bool{}, drained: map[string]bool{}}
+		for range rapid.IntRange(3, 12).Draw(t, "steps") {
+			c := changes[rapid.IntRange(0, len(changes)-1).Draw(t, "change")]
+			c.run(f, rapid.IntRange(0, 20).Draw(t, c.name))
+			w.Run(time.Duration(rapid.IntRange(100, 6000).Draw(t, "pause in ms")) * time.Millisecond)
+		}
+		w.Run(15 * time.Second)
+		if len(w.Stats.Violations) > 0 {
+			t.Fatal(w.Stats.Violations)
+		}
+	})
+}
