--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -31,7 +31,7 @@
 			return nil, newError(ErrLogSettings, "level %q", settings.Level)
 		}
 	}
-	options := &slog.HandlerOptions{Level: level}
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: shortError}
 	switch settings.Format {
 	case LogText, "":
 		return slog.New(slog.NewTextHandler(w, options)), nil
@@ -41,6 +41,14 @@
 	return nil, newError(ErrLogSettings, "format %q", settings.Format)
 }
 
+// shortError keeps the locations that errors record out of log lines.
+func shortError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
+
 // Part returns a logger for a part of the system, such as "link". Its messages begin with the part's
 // name and a colon.
 func Part(log *slog.Logger, name string) *slog.Logger {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -45,6 +45,13 @@
 		So(out.String(), ShouldContainSubstring, `level=INFO msg="wire: shown"`)
 		So(out.String(), ShouldNotContainSubstring, "hidden")
 	})
+	Convey("Errors show their message and not where they come from", t, func() {
+		out := &bytes.Buffer{}
+		log, err := NewLogger(out, LogSettings{})
+		So(err, ShouldBeNil)
+		log.Info("failed", "error", errors.Annotate(errors.New("refused"), "dial"))
+		So(out.String(), ShouldEndWith, `error="dial: refused"`+"\n")
+	})
 	Convey("Unknown settings are refused", t, func() {
 		_, err := NewLogger(io.Discard, LogSettings{Format: "xml"})
 		So(errors.Is(err, ErrLogSettings), ShouldBeTrue)
