Wait for all answers when a peer names the asking target

Ruled out: lost messages and authority.

An answer to a numbered query that names the asking target is now kept until all peers have answered or queryWait has passed.

Scenarios of core/vm and tests of core/traffic pass.

--- a/core/traffic/doubt_test.go
+++ b/core/traffic/doubt_test.go
@@ -60,6 +60,18 @@
 			f.cut["b"] = true
 			refusedUntilAnswered()
 		})
+		Convey("an answer that names the asking target does not end the query", func() {
+			f.hold = func(_ core.VMName, m core.Message) bool {
+				_, ok := m.(*core.FlowReply)
+				return ok
+			}
+			f.request("a", posting(i, 1))
+			f.in("a", core.PeerMessage{From: "b", Msg: &core.FlowReply{Flow: testFlow(i), Target: 1}})
+			So(f.refusals, ShouldBeEmpty)
+			So(f.requests(), ShouldBeEmpty)
+			f.in("a", core.PeerMessage{From: "b", Msg: &core.FlowReply{Flow: testFlow(i), Target: 2}})
+			So(f.last().Target, ShouldEqual, 2)
+		})
 		Convey("a flow accepted because of a note leaves the question open", func() {
 			f.hold = func(_ core.VMName, m core.Message) bool {
 				_, ok := m.(*core.FlowQuery)
--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -193,10 +193,13 @@
 	waiting := s.queries.waiting
 	s.queries.waiting = nil
 	for _, q := range waiting {
-		if q.f.Request.Flow == m.Flow && m.Guess {
+		// A peer that names the asking target may only repeat what this VM told it: others may know
+		// better.
+		open := m.Guess || q.seq != 0 && m.Target == q.f.Target
+		if q.f.Request.Flow == m.Flow && open && q.guess != q.f.Target {
 			q.guess = m.Target
 		}
-		if q.f.Request.Flow != m.Flow || m.Guess || s.contradicted(q, m.Target) {
+		if q.f.Request.Flow != m.Flow || open || s.contradicted(q, m.Target) {
 			s.queries.waiting = append(s.queries.waiting, q)
 			continue
 		}
