--- a/core/control/control.go
+++ b/core/control/control.go
@@ -116,8 +116,8 @@
 		c.onMembersWritten(in)
 	case core.PlatformFailed:
 		c.onPlatformFailed(in)
-	case FromShard:
-		c.onShardReport(in.Report)
+	case core.ShardReport:
+		c.onShardReport(in.Action)
 	}
 }
 
@@ -155,13 +155,6 @@
 	}
 }
 
-// FromShard carries a report of a traffic shard to control: core.HolderChanged, core.LoadChanged or
-// core.ShardDrained.
-type FromShard struct {
-	core.Input
-	Report core.Action
-}
-
 // onShardReport handles a report of a traffic shard.
 func (c *Control) onShardReport(report core.Action) {
 	switch r := report.(type) {
--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -333,7 +333,7 @@
 	}
 }
 
-func (v *vm) report(r core.Action) { v.later(0, control.FromShard{Report: r}) }
+func (v *vm) report(r core.Action) { v.later(0, core.ShardReport{Action: r}) }
 
 // handover handles the messages of the stand-in for handovers.
 func (v *vm) handover(in core.PeerMessage) bool {
--- a/core/input.go
+++ b/core/input.go
@@ -225,6 +225,10 @@
 	Number HoldingNumber
 }
 
+// ShardReport carries an action of a traffic shard to control: HolderChanged, LoadChanged or
+// ShardDrained.
+type ShardReport struct{ Action Action }
+
 func (CallerRequest) isInput()     {}
 func (TargetAnswer) isInput()      {}
 func (TargetProbe) isInput()       {}
@@ -241,4 +245,5 @@
 func (SnapshotPublished) isInput() {}
 func (TakeOver) isInput()          {}
 func (Release) isInput()           {}
+func (ShardReport) isInput()       {}
 func (Drop) isInput()              {}
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -109,14 +109,11 @@
 			return core.PeerMessage{From: self, Msg: a.Msg}
 		}
 	case core.HolderChanged, core.LoadChanged, core.ShardDrained:
-		return FromShard{Report: a}
+		return core.ShardReport{Action: a}
 	}
 	return nil
 }
 
-// FromShard carries an action of a shard to control.
-type FromShard = control.FromShard
-
 // Destination says which parts of a VM an input is for.
 type Destination struct {
 	Control   bool
@@ -148,7 +145,7 @@
 		return Destination{Control: true, AllShards: true, Shard: -1}
 	case core.PeerMessage:
 		return routeMessage(in.Msg, n)
-	case FromShard, core.HeadsRead, core.ManifestRead, core.MembersRead, core.VMListRead,
+	case core.ShardReport, core.HeadsRead, core.ManifestRead, core.MembersRead, core.VMListRead,
 		core.MembersWritten, core.PlatformFailed:
 		return Destination{Control: true, Shard: -1}
 	}
--- a/core/vm/vm_test.go
+++ b/core/vm/vm_test.go
@@ -69,7 +69,7 @@
 		So(outside, ShouldNotContain, "core.HolderChanged")
 		Convey("a planned stop ends once both shards have finished", func() {
 			run(core.Stop{})
-			run(vm.FromShard{Report: core.ShardDrained{}}, vm.FromShard{Report: core.ShardDrained{}})
+			run(core.ShardReport{Action: core.ShardDrained{}}, core.ShardReport{Action: core.ShardDrained{}})
 			run(core.Tick{})
 			So(outside, ShouldContain, "core.Drained")
 		})
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -344,7 +344,7 @@
 }
 
 func holds(t core.TargetID, vm core.VMName, n core.HoldingNumber) core.Input {
-	return control.FromShard{Report: core.HolderChanged{Target: t, Holder: vm, Number: n}}
+	return core.ShardReport{Action: core.HolderChanged{Target: t, Holder: vm, Number: n}}
 }
 
 // InForce reports whether all living VMs have a generation in force.
