--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -55,6 +57,8 @@
 //	cutoff|rejoin ZONE    cut a zone off from the platform
 //	faults RATE           lose and duplicate packets of callers
 //	generation N DURATION wait until all live VMs have a generation
+//	garbage VM...         send truncated, oversized, random and replayed bytes to all ports
+//	badpackets VM...      check that the VM counted what it could not use
 //	expect NAME OP N      check a count, taken at callers and targets
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -70,6 +74,7 @@
 			"apply":   cmdApply, "ready": cmdReady, "load": cmdLoad, "endload": cmdEndLoad, "pass": cmdPass,
 			"zone": cmdZone, "platform": cmdPlatform, "cutoff": cut(true), "rejoin": cut(false),
 			"faults": cmdFaults, "generation": cmdGeneration, "expect": cmdExpect, "restart": cmdRestart,
+			"garbage": each((*site).garbage), "badpackets": cmdBadPackets,
 		},
 	})
 }
@@ -212,6 +217,35 @@
 
 func cmdPass(ts *testscript.TestScript, _ bool, args []string) { time.Sleep(duration(ts, args, 0)) }
 
+func cmdBadPackets(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		v, err := siteOf(ts).vm(name)
+		ts.Check(err)
+		res, err := http.Get("http://" + v.addr + ":8080/metrics")
+		ts.Check(err)
+		body, err := io.ReadAll(res.Body)
+		ts.Check(err)
+		_ = res.Body.Close()
+		for _, want := range []string{`mangoweir_bad_packets_total{port="fabric"`, `mangoweir_bad_packets_total{port="target"`,
+			`mangoweir_datagrams_oversized_total{port="fabric"} `, "mangoweir_link_garbage_total "} {
+			if !countsSome(string(body), want) {
+				ts.Fatalf("%s has not counted any %s", name, want)
+			}
+		}
+	}
+}
+
+// countsSome reports whether a metric whose line has the given prefix is above 0.
+func countsSome(body, prefix string) bool {
+	for line := range strings.Lines(body) {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, prefix) && !strings.HasSuffix(line, " 0") {
+			return true
+		}
+	}
+	return false
+}
+
 func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
 	for _, t := range siteOf(ts).targets {
 		if t.Name() == args[0] || t.Zone() == args[0] {
