--- a/core/vm/scenario_test.go
+++ b/core/vm/scenario_test.go
@@ -277,3 +277,19 @@
 	w.Run(20 * time.Second)
 	requireClean(t, w)
 }
+
+// Guards against a stop that lasts 30 s when all VMs are stopped at once and none can hand over to
+// another.
+func TestStopAllVMs(t *testing.T) {
+	d := slow()
+	w := d.Start(coretest.Options{Seed: 11, Shards: 2})
+	for i := range d.VMs {
+		w.Stop(coretest.VMName(i))
+	}
+	w.Run(15 * time.Second)
+	for i := range d.VMs {
+		if w.Alive(coretest.VMName(i)) {
+			t.Errorf("%s still runs", coretest.VMName(i))
+		}
+	}
+}
