Stop two ways in which a posting ran twice after several faults

Two owners in doubt about one flow each found the other's target in a note and sent their copies there. After a takeover, the holder of a target whose zone is out accepted a claim for a flow that the lost former holder had moved away. Ruled out: refusing all requests in doubt (breaks flows that one answer would settle), and waiting longer (crossing copies cross at any delay). Change: an owner remembers where it sent a posting that peers know elsewhere; of two crossing copies only the one at the lower target id goes on. During a rebuild, a holder of an evicted target accepts a claim only after a query.

--- a/core/traffic/origin.go
+++ b/core/traffic/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -39,3 +40,38 @@
 		maps.DeleteFunc(t.from, func(k core.FlowKey, _ core.TargetID) bool { return !t.until.has(k, now) })
 	}
 }
+
+// awayTable keeps the targets that requests were sent to, each until no repetition can arrive.
+type awayTable struct {
+	to    map[reqKey]core.TargetID
+	until untilTable[reqKey]
+}
+
+func (t *awayTable) init() {
+	t.to = map[reqKey]core.TargetID{}
+	t.until.init()
+}
+
+func (t *awayTable) put(k reqKey, to core.TargetID, until time.Duration) {
+	t.to[k] = to
+	t.until.put(k, until)
+}
+
+func (t *awayTable) expire(now time.Duration) {
+	t.until.expire(now)
+	if len(t.to) > 2*len(t.until.m)+16 {
+		maps.DeleteFunc(t.to, func(k reqKey, _ core.TargetID) bool { return !t.until.has(k, now) })
+	}
+}
+
+// crossed reports whether a copy of a request arrives from the target that this owner has just sent
+// its own copy to. Two owners in doubt about one flow do that when each finds the other's target in
+// a note; only the copy at the lower target id may go on, otherwise both would run.
+func (o *owner) crossed(f *core.ForwardRequest, now time.Duration) bool {
+	if f.Request.Idempotent {
+		return false
+	}
+	k := keyOf(&f.Request)
+	to := o.away.to[k]
+	return to != 0 && o.away.until.has(k, now) && o.id > to && slices.Contains(f.Asked, to)
+}
--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -28,6 +28,8 @@
 	doubts map[core.FlowKey]*doubt
 	// origins holds flows that came back from other targets, whose holders may have records of them.
 	origins originTable
+	// away holds non-idempotent requests that were sent to the target that a peer named.
+	away awayTable
 	// guessed holds flows that were placed although peers had not answered in time.
 	guessed untilTable[core.FlowKey]
 	// passed holds flows that went on to other candidates while lost flows may appear here.
@@ -90,6 +92,7 @@
 	}
 	o.doubts = map[core.FlowKey]*doubt{}
 	o.origins.init()
+	o.away.init()
 	o.guessed.init()
 	o.passed.init()
 	o.relayed.init()
@@ -261,6 +264,7 @@
 	s.tickHandover(o)
 	o.records.expire(s, s.now)
 	o.origins.expire(s.now)
+	o.away.expire(s.now)
 	o.guessed.expire(s.now)
 	o.passed.expire(s.now)
 	o.relayed.expire(s.now)
--- a/core/traffic/placement.go
+++ b/core/traffic/placement.go
@@ -52,6 +52,10 @@
 		return true
 	}
 	if s.now < o.rebuildUntil {
+		if o.evicted(s.now) && !f.Queried {
+			// The lost former holder may have moved the flow; peers know where to.
+			return false
+		}
 		return !o.passed.has(f.Request.Flow, s.now)
 	}
 	c := s.candidates(f.Request.Flow)
--- a/core/traffic/query.go
+++ b/core/traffic/query.go
@@ -293,6 +293,9 @@
 	f.Cleared = false
 	f.Moved = false
 	f.Hops++
+	if !f.Request.Idempotent {
+		o.away.put(keyOf(&f.Request), target, s.now+core.RequestLifetime)
+	}
 	s.dispatch(f)
 }
 
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -65,6 +65,10 @@
 	if s.absorb(o, f) {
 		return
 	}
+	if o.crossed(f, s.now) {
+		s.event(core.EventDuplicateAbsorbed, o.id)
+		return
+	}
 	if s.heldBack(o, r) {
 		s.holdBack(o, f)
 		return
--- a/core/vm/property_test.go
+++ b/core/vm/property_test.go
@@ -99,6 +99,65 @@
 	})
 }
 
+// Guards against the mixes that longer random runs found, in which a posting ran twice.
+func TestFaultMixesFound(t *testing.T) {
+	type step struct {
+		operation string
+		n         int
+		pause     time.Duration
+	}
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		vms   int
+		seed  uint64
+		steps []step
+	}{
+		"two owners in doubt send their copies to each other": {8, 0x5f69ac2, []step{
+			{"cut VM", 20, 6000 * ms},
+			{"cut platform", 5, 103 * ms},
+			{"lose", 8, 305 * ms},
+			{"cut platform", 20, 105 * ms},
+			{"lose", 5, 540 * ms},
+			{"kill", 3, 189 * ms},
+			{"kill", 1, 115 * ms},
+			{"kill", 0, 140 * ms},
+			{"heal", 1, 6000 * ms},
+			{"start", 5, 144 * ms},
+			{"weight", 1, 967 * ms},
+			{"kill", 3, 102 * ms},
+		}},
+		"a lost holder moved a flow away from a zone that is out": {6, 0x6, []step{
+			{"zone out", 12, 5124 * ms},
+			{"kill", 13, 113 * ms},
+			{"resume", 19, 350 * ms},
+			{"weight", 11, 5328 * ms},
+			{"lose", 1, 6000 * ms},
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := coretest.Randstad()
+			d.VMs = c.vms
+			d.Targets = 6
+			d.ServiceTime = 100 * ms
+			w := d.Start(rough(c.seed))
+			d.AddLoad(w, 40, 0.4)
+			for _, s := range c.steps {
+				for _, op := range operations {
+					if op.name == s.operation {
+						op.run(w, d, s.n)
+					}
+				}
+				w.Run(s.pause)
+			}
+			w.Run(15 * time.Second)
+			if b := broken(w); b != "" {
+				t.Fatal(b)
+			}
+		})
+	}
+}
+
 // fleet mixes planned changes and keeps to what operators do: at least two VMs and three targets stay.
 type fleet struct {
 	w *coretest.World
