Keep targets of flows and of requests in one table type

Cause: awayTable repeated originTable line for line, for another key. Change: targetTable[K]; no change of behaviour. After: one type; core/traffic and core/vm pass, TestFaultMixesFound among them.

--- a/core/traffic/owner.go
+++ b/core/traffic/owner.go
@@ -26,10 +26,11 @@
 
 	// doubts holds flows that were placed although another VM may know them elsewhere.
 	doubts map[core.FlowKey]*doubt
-	// origins holds flows that came back from other targets, whose holders may have records of them.
-	origins originTable
-	// away holds non-idempotent requests that were sent to the target that a peer named.
-	away awayTable
+	// origins holds the targets that flows came back from, whose holders may have records of them,
+	// until no repetition of a request from before the move can arrive.
+	origins targetTable[core.FlowKey]
+	// away holds the targets named by peers that non-idempotent requests were sent to.
+	away targetTable[reqKey]
 	// guessed holds flows that were placed although peers had not answered in time.
 	guessed untilTable[core.FlowKey]
 	// passed holds flows that went on to other candidates while lost flows may appear here.
