feed: count the rest of a cold start from the store's last word

Cause: a full update for a new subscriber gave the rest of a cold start from the time of sending, and the subscriber counted it from the time at which the store had last confirmed the targets. Ruled out: a late entry (all VMs had it 100 ms after the restart) and clocks (one machine). Change: exports count from the confirmation, and ages go out for each kind from its first reading on, since an update of a kind without its age had no time to count from. Before: TestExportKeepsColdTimes has the end at 1 s, want 2 s.

--- a/core/registry/export.go
+++ b/core/registry/export.go
@@ -10,14 +10,14 @@
 const unreadableElsewhere = "unreadable at the sender of the feed"
 
 // Export returns all that is known of a kind as a full update. Times that are left, such as that of a
-// cold start, count from now.
-func (r *Registry) Export(k Kind, now time.Duration) Update {
+// cold start, count from ConfirmedAt(k), at which the update is to be applied.
+func (r *Registry) Export(k Kind) Update {
 	u := Update{Kind: k, Full: true, AsOf: r.asOf[k]}
 	switch k {
 	case Targets:
 		for _, id := range slices.Sorted(maps.Keys(r.targets)) {
 			if e := r.targets[id]; !e.removed {
-				u.Records = append(u.Records, e.export(now))
+				u.Records = append(u.Records, e.export(r.confirmed[k]))
 			}
 		}
 		for id := range r.unreadable {
@@ -37,15 +37,15 @@
 	return u
 }
 
-// export returns the entry as the target wrote it.
-func (e *entry) export(now time.Duration) Record {
+// export returns the entry as the target wrote it, with times that count from the given one.
+func (e *entry) export(from time.Duration) Record {
 	rec := Record{Name: e.id, Revision: e.revision}
 	if e.unusable {
 		rec.Unreadable = unreadableElsewhere
 		return rec
 	}
 	t := e.target
-	t.ColdFor = max(0, e.coldUntil-now)
+	t.ColdFor = max(0, e.coldUntil-from)
 	rec.Target = &t
 	return rec
 }
--- a/core/registry/property_test.go
+++ b/core/registry/property_test.go
@@ -240,7 +240,7 @@
 func (w *world) relay(from, to *vm) {
 	for kind := range registry.Kind(registry.Kinds) {
 		if from.registry.AsOf(kind) > 0 {
-			to.registry.Apply(from.registry.Export(kind, w.now), from.registry.ConfirmedAt(kind))
+			to.registry.Apply(from.registry.Export(kind), from.registry.ConfirmedAt(kind))
 		}
 	}
 	w.install(to)
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -186,10 +186,26 @@
 		a.Apply(changed(ZonesOut, 12, Record{Name: string(zoneB), Revision: 12}), 0)
 		b := New(zoneA, testLimits)
 		for kind := range Kind(Kinds) {
-			b.Apply(a.Export(kind, 400*time.Millisecond), 400*time.Millisecond)
+			b.Apply(a.Export(kind), a.ConfirmedAt(kind))
 			convey.So(b.AsOf(kind), convey.ShouldEqual, a.AsOf(kind))
 		}
 		convey.So(pools(b.View(500*time.Millisecond)), convey.ShouldResemble, pools(a.View(500*time.Millisecond)))
 		convey.So(b.NextDue(), convey.ShouldEqual, a.NextDue())
 	})
 }
+
+// Guards against a target that counts as warm too early at a VM that subscribes late: in the soak one got
+// 11 new flows within a second at the end of its cold start, and bears 8.
+func TestExportKeepsColdTimes(t *testing.T) {
+	convey.Convey("However long after the store's last word an export is made, cold starts end as they did", t, func() {
+		a := testRegistry(targetRecord("i-1", 3).with(func(t *Target) { t.ColdFor = 2 * time.Second }))
+		a.Confirm(Targets, 200*time.Millisecond)
+		const now = 1200 * time.Millisecond
+		b := New(zoneA, testLimits)
+		for kind := range Kind(Kinds) {
+			b.Apply(a.Export(kind), a.ConfirmedAt(kind))
+		}
+		v := b.View(now)
+		convey.So(v.Targets[forward.NewToken("i-1", 1000)].ColdUntil, convey.ShouldEqual, 2*time.Second)
+	})
+}
--- a/internal/feed/encode.go
+++ b/internal/feed/encode.go
@@ -12,10 +12,15 @@
 	"github.com/mangoweir/mangoweir/internal/feed/feedpb"
 )
 
+// Unknown is the age of a kind that the sender has not read yet. It is longer than the store may be out of
+// touch before its word counts for nothing.
+const Unknown = time.Hour
+
 // Message is what a VM passes on to its subscribers.
 type Message struct {
 	Updates []registry.Update
-	// Ages is the time since the store last confirmed each kind; nil before all kinds are known.
+	// Ages is the time since the store last confirmed each kind, Unknown for one that was never read.
+	// Updates are as of these times. It is nil in messages that say nothing of the store.
 	Ages    []time.Duration
 	ZoneVMs int
 	// Redirect is the address of a VM to subscribe to instead; empty when the sender keeps the
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -227,7 +227,7 @@
 	now := s.Now()
 	e := Event{ZoneVMs: m.ZoneVMs}
 	for i := range e.Confirmed {
-		// A sender that does not know all kinds yet says nothing about their age.
+		// Without ages the message says nothing of the store.
 		e.Confirmed[i] = now - storeLost
 		if m.Ages != nil {
 			e.Confirmed[i] = now - m.Ages[i]
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -64,6 +64,7 @@
 		}
 	}
 	if e.ZoneVMs > 0 {
+		c.heard = now
 		c.zoneVMs = e.ZoneVMs
 		c.registry.SetZoneVMs(e.ZoneVMs)
 	}
@@ -129,10 +130,9 @@
 		return
 	}
 	m := feed.Message{}
-	now := c.shared.clock.now()
 	for kind := range registry.Kind(registry.Kinds) {
 		if asOf := c.registry.AsOf(kind); asOf > sub.AsOf[kind] {
-			m.Updates = append(m.Updates, c.registry.Export(kind, now))
+			m.Updates = append(m.Updates, c.registry.Export(kind))
 		}
 	}
 	c.subscribers = append(c.subscribers, sub)
@@ -158,10 +158,12 @@
 
 func (c *control) send(m feed.Message, to ...*feed.Subscriber) {
 	now := c.shared.clock.now()
-	if c.registry.Known() {
-		for kind := range registry.Kind(registry.Kinds) {
-			m.Ages = append(m.Ages, now-c.registry.ConfirmedAt(kind))
+	for kind := range registry.Kind(registry.Kinds) {
+		age := feed.Unknown
+		if c.registry.AsOf(kind) > 0 {
+			age = now - c.registry.ConfirmedAt(kind)
 		}
+		m.Ages = append(m.Ages, age)
 	}
 	m.ZoneVMs = c.zoneSize()
 	b, err := m.Encode()
