forwarder: let a view be older than the process

Cause: the clock of a process began at 0, and times before it counted as never. A VM that started during an outage of the store and took the feed of another VM therefore took a view of any age for one of its own start, which counts as current for 2.5 s, and refused SYNs by resets on its word. Ruled out: ages lost on the way (TestMessageRoundTrip).

--- a/internal/forwarder/clock.go
+++ b/internal/forwarder/clock.go
@@ -5,8 +5,14 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/mangoweir/mangoweir/internal/feed"
 )
 
+// clockStart is what the clock shows when the process starts. What other VMs know may be older than the
+// process; with this start the times of all that a VM may still use are above 0, which means never.
+const clockStart = 2 * feed.Unknown
+
 // clock is the VM's monotonic clock. It counts the time in which the VM was suspended, which the steady
 // clock does not, so that a view's age is true after a wake-up. The time of day is never used.
 type clock struct {
@@ -23,9 +29,9 @@
 	return c
 }
 
-// now returns the time since the process started.
+// now returns the time since the process started, plus clockStart.
 func (c *clock) now() time.Duration {
-	return time.Since(c.start) + time.Duration(c.behind.Load())
+	return clockStart + time.Since(c.start) + time.Duration(c.behind.Load())
 }
 
 // check accounts for a suspension and returns its length, if there was one since the last call.
--- a/internal/forwarder/control_test.go
+++ b/internal/forwarder/control_test.go
@@ -70,3 +70,34 @@
 		t.Errorf("the subscriber got %d updates, want 1", n)
 	}
 }
+
+// Guards against resets on the word of an old view: what another VM knows may be older than this process.
+func TestViewsOlderThanTheProcess(t *testing.T) {
+	c, _ := testControl(t)
+	now := c.shared.clock.now()
+	const age = 10 * time.Second
+	updates := []registry.Update{
+		{Kind: registry.Targets, Full: true, AsOf: 7},
+		{Kind: registry.Configs, Full: true, AsOf: 7, Records: []registry.Record{{Name: registry.ConfigName, Revision: 3, Config: &registry.Config{Version: 1}}}},
+		{Kind: registry.ZonesOut, Full: true, AsOf: 7},
+	}
+	for i := range updates {
+		e := feed.Event{Update: &updates[i]}
+		e.Confirmed[updates[i].Kind] = now - age
+		c.event(e)
+	}
+	e := feed.Event{ZoneVMs: 2}
+	for kind := range e.Confirmed {
+		e.Confirmed[kind] = now - age
+	}
+	c.event(e)
+	if c.shared.view.Load().Config != 1 {
+		t.Fatal("the configuration is not in force")
+	}
+	if until := time.Duration(c.shared.freshUntil.Load()); until > now {
+		t.Errorf("a view that is %s old counts as current for %s more", age, until-now)
+	}
+	if got := c.registry.ConfirmedAt(registry.Targets); got != now-age {
+		t.Errorf("the targets count as confirmed %s ago, want %s", now-got, age)
+	}
+}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -82,7 +82,8 @@
 		return 0
 	})
 	set.NewGauge("mangoweir_view_stale_seconds", func() float64 {
-		return max(0, (s.clock.now() - time.Duration(s.freshUntil.Load())).Seconds())
+		// Before the first view, the time since the start.
+		return max(0, (s.clock.now() - max(clockStart, time.Duration(s.freshUntil.Load()))).Seconds())
 	})
 	set.NewGauge("mangoweir_ready", func() float64 {
 		if s.ready() {
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -102,7 +102,10 @@
 	if err != nil {
 		return nil, nil, socketError(err)
 	}
-	c := &control{shared: sh, platform: p, settings: st, registry: registry.New(st.Zone, st.Limits), watcher: newWatcher(), log: log}
+	c := &control{
+		shared: sh, platform: p, settings: st, registry: registry.New(st.Zone, st.Limits), watcher: newWatcher(),
+		heard: sh.clock.now(), log: log,
+	}
 	c.metrics = newControlMetrics(m, sh, func() int { return int(c.subscriberCount.Load()) })
 	store, err := p.Store(st.Store, c.metrics.storeCall)
 	if err != nil {
--- a/internal/forwarder/traffic.go
+++ b/internal/forwarder/traffic.go
@@ -142,9 +142,10 @@
 	}
 }
 
-// staleSince returns the time until which the view counted as current, at most now.
+// staleSince returns the time until which the view counted as current, at most now; the start of the
+// process when it never did.
 func (t *traffic) staleSince(now time.Duration) time.Duration {
-	return min(now, time.Duration(t.shared.freshUntil.Load()))
+	return min(now, max(clockStart, time.Duration(t.shared.freshUntil.Load())))
 }
 
 // Bounds of the flow log.
