--- a/internal/cli/forward.go
+++ b/internal/cli/forward.go
@@ -7,6 +7,8 @@
 
 	"github.com/mangoweir/mangoweir/internal/feed"
 	"github.com/mangoweir/mangoweir/internal/forwarder"
+	// Initialised early, so that SIGHUP does not end a starting daemon.
+	_ "github.com/mangoweir/mangoweir/internal/hangup"
 	"github.com/mangoweir/mangoweir/platform"
 )
 
--- /dev/null
+++ b/internal/hangup/hangup_test.go
@@ -0,0 +1,64 @@
+package hangup
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// life is how long a helper process runs; it never calls signal.Notify.
+const life = 300 * time.Millisecond
+
+// TestMain runs the helper processes of TestHangup.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && (os.Args[1] == "forward" || os.Args[1] == "demo") {
+		fmt.Println("started")
+		time.Sleep(life)
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// hangUp starts a helper process under the name of a command, sends it SIGHUP and returns the signal that
+// ended it; 0 when it ended by itself.
+func hangUp(t *testing.T, command string) syscall.Signal {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], command)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := bufio.NewReader(out).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	err = cmd.Wait()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		return 0
+	}
+	return exit.Sys().(syscall.WaitStatus).Signal()
+}
+
+// Guards against a daemon that ends when its settings change while it starts (soak seed 213).
+func TestHangup(t *testing.T) {
+	if s := hangUp(t, "forward"); s != 0 {
+		t.Errorf("a starting daemon ended by %s", s)
+	}
+	if s := hangUp(t, "demo"); s != syscall.SIGHUP {
+		t.Errorf("a command that runs on a terminal did not end by SIGHUP (%d)", s)
+	}
+}
