forward: take a refused connection for an end only beside one that is accepted

Cause: a zone that is cut off may refuse connections. Ruled out: the view (entries had returned 0.3 s after the cut), budgets for cold targets (the resets say target-gone on ready targets). Change: a refusal counts as an end only when one of two other targets of the zone accepts, for 3 s (below the stability window of 4 s); else the target counts as silent, for 2 s. The same for held connections.

--- a/core/forward/exited_test.go
+++ b/core/forward/exited_test.go
@@ -69,3 +69,25 @@
 		convey.So(f.Handle(repeated, time.Second+DrainedExit).Action, convey.ShouldEqual, Reset)
 	})
 }
+
+// Guards against a zone that is cut off, and refuses connections, being taken for a zone whose targets ended.
+func TestProbeNeighbours(t *testing.T) {
+	convey.Convey("A probe names other targets of the target's zone that are ready", t, func() {
+		v, _ := withCondition(testView(4), 1, Draining)
+		remote := v.service().Remote[0]
+		v.Targets[NewToken("former", 1)] = remote
+		for range 20 {
+			n := v.Neighbours(v.service().Local[0])
+			convey.So(n, convey.ShouldHaveLength, maxNeighbours)
+			for _, t := range n {
+				convey.So(t.Zone, convey.ShouldEqual, zoneA)
+				convey.So(t.ID, convey.ShouldNotEqual, v.service().Local[0].ID)
+				convey.So(t.Condition, convey.ShouldEqual, Ready)
+			}
+		}
+		f := testForwarder(v)
+		f.Handle(data(testFlow(1), remote.Token, 100, 900), 0)
+		d := f.Handle(data(testFlow(1), remote.Token, 100, 900), 200*time.Millisecond)
+		convey.So(d.Probe.Neighbours, convey.ShouldHaveLength, maxNeighbours)
+	})
+}
--- a/core/forward/liveness.go
+++ b/core/forward/liveness.go
@@ -12,10 +12,11 @@
 const (
 	// Alive: the target accepted a connection.
 	Alive ProbeResult = iota
-	// Ended: its machine refused the connection, so the process is gone.
+	// Ended: its machine refused the connection and others of its zone accept them, so the process is
+	// gone.
 	Ended
-	// Silent: it did not answer while another target did. The target or its machine is gone, or cut
-	// off from this VM.
+	// Silent: it did not answer while another target did, or it refused the connection and no other of
+	// its zone accepts one. The target or its machine is gone, or cut off from this VM.
 	Silent
 	// Unclear: neither answered. This VM itself may be cut off, busy, or sending more than its link
 	// carries.
@@ -38,15 +39,22 @@
 	// Witness is another target that answered lately. Only if it answers does the silence of Target say
 	// anything of Target. It is nil when there is none.
 	Witness *Target
+	// Neighbours are up to two other targets of its zone. A zone that is cut off may refuse all
+	// connections, so a refusal proves an end only when one of these accepts.
+	Neighbours []*Target
 }
 
+// maxNeighbours is the number of neighbours of a probe: one may have ended, too.
+const maxNeighbours = 2
+
 const (
 	// probeInterval is the least time between two probes of a target. A slow target gives cause for
 	// one with each long request.
 	probeInterval = time.Second
-	// endedMemory is how long a refused connection counts. The entry of a target that ended disappears
-	// after three heartbeats (3.6 s in the users' settings).
-	endedMemory = 10 * time.Second
+	// endedMemory is how long a refused connection counts; the next repeated packet asks for another
+	// probe. It is below the users' stability window (4 s), after which a target that was cut off must be
+	// served again.
+	endedMemory = 3 * time.Second
 	// silentMemory is how long a silent probe counts; the next repeated packet asks for another one.
 	silentMemory = 2 * time.Second
 )
@@ -69,7 +77,7 @@
 		return
 	}
 	l.probeAt = now + probeInterval
-	d.Probe = ProbeRequest{Target: t, Witness: f.witness(t, now)}
+	d.Probe = ProbeRequest{Target: t, Witness: f.witness(t, now), Neighbours: f.view.Neighbours(t)}
 }
 
 // witness returns a target other than t that is not suspected itself, of this zone if there is one: a zone
--- a/core/forward/view.go
+++ b/core/forward/view.go
@@ -96,3 +96,17 @@
 	t := v.Targets[token]
 	return t != nil && t.Condition == Exited
 }
+
+// Neighbours returns up to maxNeighbours random other targets of a target's zone.
+func (v *View) Neighbours(t *Target) []*Target {
+	var all []*Target
+	for token, n := range v.Targets {
+		// Other tokens of a target are those of former lifetimes.
+		if n.Token == token && n.ID != t.ID && n.Zone == t.Zone && (n.Condition == Ready || n.Condition == Lapsed) {
+			if all = append(all, n); len(all) == maxNeighbours {
+				break
+			}
+		}
+	}
+	return all
+}
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -175,6 +175,7 @@
 	if v := c.registry.View(now); v != nil {
 		c.shared.view.Store(v)
 		c.view = v
+		c.watcher.view.Store(v)
 		c.watch()
 	}
 	c.shared.freshSince.Store(int64(c.registry.FreshSince()))
--- a/internal/forwarder/probe.go
+++ b/internal/forwarder/probe.go
@@ -70,7 +70,10 @@
 // is compared with one to the witness.
 func run(r forward.ProbeRequest) (forward.ProbeResult, error) {
 	result, err := connect(r.Target, firstTimeout)
-	if result != forward.Silent {
+	switch {
+	case result == forward.Ended && !anyAccepts(r.Neighbours):
+		return forward.Silent, err
+	case result != forward.Silent:
 		return result, err
 	}
 	witness := make(chan forward.ProbeResult, 1)
@@ -90,6 +93,24 @@
 	return result, err
 }
 
+// anyAccepts reports whether one of some targets accepts connections.
+func anyAccepts(targets []*forward.Target) bool {
+	results := make(chan forward.ProbeResult, len(targets))
+	for _, t := range targets {
+		go func() {
+			// Why one does not accept is of no interest here.
+			result, _ := connect(t, firstTimeout)
+			results <- result
+		}()
+	}
+	for range targets {
+		if <-results == forward.Alive {
+			return true
+		}
+	}
+	return false
+}
+
 // connect makes one connection attempt to a target.
 func connect(t *forward.Target, timeout time.Duration) (forward.ProbeResult, error) {
 	conn, err := net.DialTimeout("tcp", t.Addr.String(), timeout)
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,15 +47,19 @@
 type watcher struct {
 	results chan connection
 	limit   *rate.Limiter
+	// view is the newest view, for neighbours of targets.
+	view atomic.Pointer[forward.View]
 	// cancel ends the connections to targets, by token.
 	cancel map[forward.Token]context.CancelFunc
 }
 
 func newWatcher() *watcher {
-	return &watcher{
+	w := &watcher{
 		results: make(chan connection), limit: rate.NewLimiter(watchDials, watchDialBurst),
 		cancel: map[forward.Token]context.CancelFunc{},
 	}
+	w.view.Store(&forward.View{})
+	return w
 }
 
 // watchable returns the targets of a view that a VM of the given zone may hold connections to, those of
@@ -102,9 +107,10 @@
 		return
 	}
 	retry := minWatchRetry
+	ended := false
 	for ctx.Err() == nil {
 		opened := time.Now()
-		w.attempt(ctx, t)
+		ended = w.attempt(ctx, t, ended)
 		if time.Since(opened) >= maxWatchRetry {
 			retry = minWatchRetry
 			continue
@@ -117,10 +123,15 @@
 	}
 }
 
-// attempt connects to a target, tells what that shows and holds the connection until it ends.
-func (w *watcher) attempt(ctx context.Context, t *forward.Target) {
+// attempt connects to a target, tells what that shows and holds the connection until it ends. It takes and
+// returns whether the target was seen to have ended.
+func (w *watcher) attempt(ctx context.Context, t *forward.Target, ended bool) bool {
 	conn, err := (&net.Dialer{Timeout: watchTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", t.Addr.String())
 	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	if refused && !ended && !anyAccepts(w.view.Load().Neighbours(t)) {
+		// The zone may be cut off.
+		return false
+	}
 	if err == nil || refused {
 		select {
 		case w.results <- connection{target: t, ended: refused, err: err}:
@@ -129,7 +140,9 @@
 	}
 	if err == nil {
 		hold(ctx, conn)
+		return false
 	}
+	return ended || refused
 }
 
 // hold waits until a connection or ctx ends. Targets send nothing on it.
--- a/internal/forwarder/watch_test.go
+++ b/internal/forwarder/watch_test.go
@@ -30,7 +30,15 @@
 	addr := l.Addr().String()
 	target := targetAt(t, addr)
 	target.Token = 7
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	neighbour := targetAt(t, other.Addr().String())
+	neighbour.ID, neighbour.Token = "neighbour", 8
 	w := newWatcher()
+	w.view.Store(&forward.View{Targets: map[forward.Token]*forward.Target{7: target, 8: neighbour}})
 	w.set([]*forward.Target{target})
 	defer w.set(nil)
 	first, err := l.Accept()
@@ -93,3 +101,30 @@
 		t.Errorf("targets %v of the zone come first, want 1 and 2", local)
 	}
 }
+
+// Guards against a zone whose targets all count as ended, and as cold afterwards, as it was cut off for a while.
+func TestWatcherIgnoresCutZone(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := closed.Addr().String()
+	_ = closed.Close()
+	v := &forward.View{Targets: map[forward.Token]*forward.Target{}}
+	var targets []*forward.Target
+	for i := range forward.Token(3) {
+		target := targetAt(t, addr)
+		target.ID, target.Token, target.Listed = string('a'+rune(i)), i+1, true
+		v.Targets[target.Token] = target
+		targets = append(targets, target)
+	}
+	w := newWatcher()
+	w.view.Store(v)
+	w.set(targets)
+	defer w.set(nil)
+	select {
+	case r := <-w.results:
+		t.Errorf("target %s was seen to have ended: %v", r.target.ID, r.ended)
+	case <-time.After(2 * maxWatchRetry):
+	}
+}
