--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -62,24 +61,23 @@
 	return w
 }
 
-// watchable returns the targets of a view that a VM of the given zone may hold connections to, those of
-// its zone first.
+// watchable returns the targets of a view that a VM of the given zone may hold connections to: those of its
+// own zone. VMs of other zones send them little, and each connection is priced.
 func watchable(v *forward.View, zone core.ZoneName) []*forward.Target {
-	var local, remote []*forward.Target
+	var targets []*forward.Target
 	for token, t := range v.Targets {
 		switch {
-		case t.Token != token || !t.Listed || t.Condition == forward.Unusable:
-			// An alias, or a target that gets no flows.
+		case len(targets) == maxWatched:
+			return targets
+		case t.Zone != zone || t.Token != token || !t.Listed || t.Condition == forward.Unusable:
+			// Another zone's, an alias, or a target that gets no flows.
 		case t.Condition == forward.Draining:
 			// Its port closes before its last flows end.
-		case t.Zone == zone:
-			local = append(local, t)
 		default:
-			remote = append(remote, t)
+			targets = append(targets, t)
 		}
 	}
-	all := slices.Concat(local, remote)
-	return all[:min(len(all), maxWatched)]
+	return targets
 }
 
 // set replaces the targets to hold connections to. Only the control thread calls it.
--- a/internal/forwarder/watch_test.go
+++ b/internal/forwarder/watch_test.go
@@ -72,33 +72,30 @@
 	}
 }
 
-// Guards against connections to targets that no flow may use, and to more targets than descriptors allow.
+// Guards against connections to targets that no flow may use, or that other zones watch, and to more targets
+// than descriptors allow.
 func TestWatchable(t *testing.T) {
 	v := &forward.View{Targets: map[forward.Token]*forward.Target{}}
 	add := func(token forward.Token, target forward.Target) {
 		target.Token = token
 		v.Targets[token] = &target
 	}
-	for i := range forward.Token(maxWatched + 8) {
-		add(1000+i, forward.Target{Zone: "zone-b", Listed: true})
-	}
 	add(1, forward.Target{Zone: "zone-a", Listed: true})
 	add(2, forward.Target{Zone: "zone-a", Listed: true, Condition: forward.Exited})
 	add(3, forward.Target{Zone: "zone-a", Condition: forward.Lapsed})
 	add(4, forward.Target{Zone: "zone-a", Listed: true, Condition: forward.Unusable})
-	v.Targets[5] = v.Targets[1]
+	add(5, forward.Target{Zone: "zone-a", Listed: true, Condition: forward.Draining})
+	add(6, forward.Target{Zone: "zone-b", Listed: true})
+	v.Targets[7] = v.Targets[1]
 	got := watchable(v, "zone-a")
-	if len(got) != maxWatched {
-		t.Errorf("%d targets, want %d", len(got), maxWatched)
+	if len(got) != 2 || got[0].Token+got[1].Token != 3 {
+		t.Errorf("%d targets, want 1 and 2", len(got))
 	}
-	local := map[forward.Token]bool{}
-	for _, target := range got {
-		if target.Zone == "zone-a" {
-			local[target.Token] = true
-		}
+	for i := range forward.Token(maxWatched) {
+		add(1000+i, forward.Target{Zone: "zone-a", Listed: true})
 	}
-	if len(local) != 2 || !local[1] || !local[2] || got[0].Zone != "zone-a" || got[1].Zone != "zone-a" {
-		t.Errorf("targets %v of the zone come first, want 1 and 2", local)
+	if got := watchable(v, "zone-a"); len(got) != maxWatched {
+		t.Errorf("%d targets, want %d", len(got), maxWatched)
 	}
 }
 
