--- a/internal/forwarder/control_test.go
+++ b/internal/forwarder/control_test.go
@@ -101,3 +101,33 @@
 		t.Errorf("the targets count as confirmed %s ago, want %s", now-got, age)
 	}
 }
+
+// Guards against a planned stop that ends while routers still send packets, which costs clients a repetition.
+func TestPlannedStopWaitsForPackets(t *testing.T) {
+	c, _ := testControl(t)
+	p := &process{control: c}
+	const grace = 6 * time.Second
+	c.settings.Grace = grace
+	p.stopBegan = c.shared.clock.now()
+	stopAt := p.stopBegan + grace - stopMargin
+	for _, s := range []struct {
+		name string
+		// after is the time since the stop began, quiet that since the last packet.
+		after, quiet time.Duration
+		want         bool
+	}{
+		{"before routers can have noticed", minStop - 100*time.Millisecond, time.Second, false},
+		{"while packets come", minStop + time.Second, quietStop / 2, false},
+		{"when they have ended", minStop + 100*time.Millisecond, quietStop + 100*time.Millisecond, true},
+		{"when the grace is over", grace - stopMargin + 100*time.Millisecond, 0, true},
+	} {
+		now := c.shared.clock.now()
+		c.shared.lastPacket.Store(int64(now - s.quiet))
+		shift := s.after - (now - p.stopBegan)
+		p.stopBegan -= shift
+		if got := p.stopped(stopAt - shift); got != s.want {
+			t.Errorf("%s: stopped is %v, want %v", s.name, got, s.want)
+		}
+		p.stopBegan += shift
+	}
+}
