--- a/core/control/members.go
+++ b/core/control/members.go
@@ -382,8 +382,11 @@
 		}
 	}
 	founders := z.epoch != 0 && len(wanted) == 0
+	byName := func(a, b core.Member) int { return compare(a.Name, b.Name) }
+	slices.SortFunc(wanted, byName)
+	stayed := wanted
 	add := func(name core.VMName, inc core.Incarnation, addr netip.AddrPort) {
-		if !slices.ContainsFunc(wanted, func(m core.Member) bool { return m.Name == name }) {
+		if _, found := slices.BinarySearchFunc(stayed, core.Member{Name: name}, byName); !found {
 			wanted = append(wanted, core.Member{Name: name, Incarnation: inc, Addr: addr, Joined: z.epoch + 1, Founder: founders})
 		}
 	}
@@ -396,7 +399,7 @@
 		}
 		return true
 	})
-	slices.SortFunc(wanted, func(a, b core.Member) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(wanted, byName)
 	return wanted
 }
 
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -19,7 +19,10 @@
 func (c *checker) name(field, s string) {
 	c.check(len(s) >= 1 && len(s) <= maxName, "%s has %d bytes", field, len(s))
 	for i := 0; i < len(s) && c.err == nil; i++ {
-		c.check(isNameByte(s[i]), "%s contains %q", field, s[i])
+		// Arguments of check are allocated, so it is called for wrong bytes only.
+		if !isNameByte(s[i]) {
+			c.check(false, "%s contains %q", field, s[i])
+		}
 	}
 }
 
