--- a/internal/e2e/forward_test.go
+++ b/internal/e2e/forward_test.go
@@ -280,14 +280,24 @@
 	if out["failed"] > 3 {
 		t.Errorf("outcomes after a target ended: %v", out)
 	}
-	probed := false
 	for _, vm := range f.VMs {
+		told := false
 		for _, line := range logLines(t, f, vm) {
-			probed = probed || line["msg"] == "flow: probed" && line["target"] == f.Hosts()[0].ID && line["result"] == "ended"
+			if line["target"] != f.Hosts()[0].ID {
+				continue
+			}
+			switch line["msg"] {
+			case "control: a target ended":
+				told = true
+			case "control: another VM saw a target":
+				told = told || line["ended"] == true
+			case "flow: probed":
+				told = told || line["result"] == "ended"
+			}
+		}
+		if !told {
+			t.Errorf("no log line of %s tells that the target has ended", vm.Name)
 		}
-	}
-	if !probed {
-		t.Error("no log line tells that the target has ended")
 	}
 }
 
