--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -20,6 +20,10 @@
 	isolatedAfter = 4 * time.Second
 	// settingsCheck is how often the settings file is looked at. It may change without a signal.
 	settingsCheck = time.Second
+	// watchDelay is how long a VM must have been without the feed of its zone's reader before it connects to
+	// targets itself. VMs find a reader within half a second of their start; three in four of these
+	// connections on a grown day were opened before that, for nothing.
+	watchDelay = time.Second
 	// maxChangeLines bounds the lines about the changes of one update; the rest are counted.
 	maxChangeLines = 20
 )
@@ -38,6 +42,8 @@
 	watcher *watcher
 	// view is the newest view.
 	view *forward.View
+	// unfedSince is when this VM lost, or began without, the feed of its zone's reader.
+	unfedSince time.Duration
 
 	subscribers []*feed.Subscriber
 	// subscriberCount is len(subscribers), for other threads.
@@ -91,6 +97,9 @@
 	}
 	c.log.Log(context.Background(), level, "source of updates changed", "role", string(s.Role), "before", string(c.state.Role),
 		"peer", s.Peer, "cause", s.Cause)
+	if c.state.Role == feed.Subscribed || c.state.Role == "" {
+		c.unfedSince = c.shared.clock.now()
+	}
 	c.state = s
 	c.watch()
 }
@@ -103,7 +112,8 @@
 		return
 	}
 	targets := watchable(c.view, c.settings.Zone)
-	if c.state.Role == feed.Subscribed {
+	unfed := c.state.Role != feed.Subscribed && c.shared.clock.now()-c.unfedSince >= watchDelay
+	if c.state.Role != feed.Reading && !unfed {
 		targets = slices.DeleteFunc(targets, func(t *forward.Target) bool { return t.Condition != forward.Exited })
 	}
 	c.watcher.set(targets)
@@ -285,6 +295,7 @@
 		c.broadcast(feed.Message{})
 	}
 	c.noteIsolation(now)
+	c.watch()
 	if now-c.settingsChecked >= settingsCheck {
 		c.settingsChecked = now
 		c.checkSettings()
