Revert "feed: leave long lists to the reader when VMs start"

Conclusion: VMs that start get whole lists of 3,000 targets through the tree, behind which changes wait.

--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -32,11 +32,6 @@
 	// and its subscribers try the store themselves. It is the longest time between two answers of a
 	// store that is well.
 	storeLost = 2500 * time.Millisecond
-	// feedWait is how long a starting VM waits for a feed rather than read a list of several pages, and as
-	// long again at random. It covers a new reader's claim and 20 pages of 500 objects.
-	feedWait = time.Second
-	// feedPoll is how often it looks.
-	feedPoll = 20 * time.Millisecond
 	// checkInterval is how often a reader without subscribers asks whether another VM has taken over.
 	checkInterval = 5 * time.Second
 	// maxClaimDelay and claimJitter spread the claims of the VMs of a zone. A VM with half a core or
@@ -113,9 +108,7 @@
 
 // start reads all kinds once, from the store or from another VM, whichever answers first. Waiting for
 // the feed of the zone's reader would save three calls, but when all VMs restart together it delays each
-// of them by the time that it takes to find that nobody has a feed yet. Lists of several pages are left to
-// the reader for a while all the same: when 300 VMs asked for 3,000 targets each, the store's rate made
-// service wait for 9.5 s.
+// of them by the time that it takes to find that nobody has a feed yet.
 func (s *Source) start(ctx context.Context) {
 	peers, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -128,13 +121,8 @@
 	var wg sync.WaitGroup
 	for kind := range registry.Kind(registry.Kinds) {
 		wg.Go(func() {
-			pages := 1
 			for ctx.Err() == nil && s.at(kind) == 0 {
-				switch err := s.list(ctx, kind, pages); {
-				case errors.Is(err, ErrLongList):
-					s.awaitFeed(ctx, kind)
-					pages = AllPages
-				case err != nil:
+				if s.list(ctx, kind) != nil {
 					pause(ctx, backoff())
 				}
 			}
@@ -143,15 +131,6 @@
 	wg.Wait()
 }
 
-// awaitFeed waits for a feed to bring a kind, within bounds.
-func (s *Source) awaitFeed(ctx context.Context, kind registry.Kind) {
-	for end := s.Now() + feedWait + rand.N(feedWait); s.at(kind) == 0 && s.Now() < end; {
-		if !pause(ctx, feedPoll) {
-			return
-		}
-	}
-}
-
 // step finds the zone's reader and takes its feed, or becomes the reader.
 func (s *Source) step(ctx context.Context) {
 	r, err := s.Store.Reader(ctx, s.Zone)
@@ -264,7 +243,7 @@
 	limiter := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
 	for ctx.Err() == nil {
 		if s.at(kind) == 0 {
-			if s.list(ctx, kind, AllPages) != nil {
+			if s.list(ctx, kind) != nil {
 				pause(ctx, backoff())
 			}
 			continue
@@ -275,7 +254,7 @@
 			return
 		case errors.Is(err, ErrHistoryGone):
 			s.Log.Info("lists a kind again", "kind", kind.String(), "cause", err)
-			if s.list(ctx, kind, AllPages) != nil {
+			if s.list(ctx, kind) != nil {
 				pause(ctx, backoff())
 			}
 		case err != nil:
@@ -291,10 +270,10 @@
 }
 
 // list reads a kind anew.
-func (s *Source) list(ctx context.Context, kind registry.Kind, pages int) error {
-	u, err := s.Store.List(ctx, kind, pages)
+func (s *Source) list(ctx context.Context, kind registry.Kind) error {
+	u, err := s.Store.List(ctx, kind)
 	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, ErrLongList) {
+		if ctx.Err() == nil {
 			s.Log.Warn("cannot list a kind", "kind", kind.String(), "error", err)
 		}
 		return err
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -13,12 +13,6 @@
 // ErrHistoryGone says that the store no longer has the changes after a revision.
 const ErrHistoryGone = errors.ConstError("the store has dropped this part of its history: list the kind again")
 
-// ErrLongList says that a list has more pages than were asked for.
-const ErrLongList = errors.ConstError("the list has further pages: ask for all of them, or take a feed")
-
-// AllPages asks for a whole list.
-const AllPages = 0
-
 // Reader is the VM that reads the store for its zone.
 type Reader struct {
 	VM core.VMName `json:"vm"`
@@ -30,9 +24,8 @@
 
 // Store is the platform's store.
 type Store interface {
-	// List reads all objects of a kind, which may take the given number of pages, or AllPages. Errors:
-	// ErrLongList.
-	List(ctx context.Context, kind registry.Kind, pages int) (registry.Update, error)
+	// List reads all objects of a kind.
+	List(ctx context.Context, kind registry.Kind) (registry.Update, error)
 	// Watch waits until objects of a kind have changed after a revision, or until wait has passed.
 	// Errors: ErrHistoryGone.
 	Watch(ctx context.Context, kind registry.Kind, after uint64, wait time.Duration) (registry.Update, error)
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -122,12 +122,12 @@
 // connected takes the result of a connection attempt to a target.
 func (c *control) connected(s connection) {
 	now := c.shared.clock.now()
-	o, news := c.registry.NoteConnection(s.target, s.ended, now)
+	o, news := c.registry.NoteConnection(s.target, s.refused, now)
 	if !news {
 		return
 	}
 	what, count := "returned", c.metrics.returned
-	if s.ended {
+	if s.refused {
 		what, count = "ended", c.metrics.ended
 	}
 	count.Inc()
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -18,8 +18,8 @@
 
 const (
 	// maxWatched bounds the connections that a VM holds to targets. These close idle ones after 12 s, so
-	// that 64 make 5 new ones a second. With 333, a reader with 0.088 of a core spent 48% of it, and
-	// configurations were in force 2 to 10 s late (sweep with 300 VMs).
+	// that 64 make 5 new ones a second. With 333, the busiest of 300 VMs with 0.088 of a core spent 48% of it
+	// instead of 28% (sweep).
 	maxWatched = 64
 	// watchDials and watchDialBurst bound first connections per second. Lost connections are replaced at
 	// once: a target that restarts may refuse connections for some milliseconds only.
@@ -37,9 +37,9 @@
 // connection is the result of a connection attempt to a target.
 type connection struct {
 	target *forward.Target
-	// ended is true when its machine refused the connection.
-	ended bool
-	err   error
+	// refused is true when its machine refused the connection.
+	refused bool
+	err     error
 }
 
 // watcher holds a connection to each of some targets. The end of a target's process closes it, so that
@@ -137,7 +137,7 @@
 	}
 	if err == nil || refused {
 		select {
-		case w.results <- connection{target: t, ended: refused, err: err}:
+		case w.results <- connection{target: t, refused: refused, err: err}:
 		case <-ctx.Done():
 		}
 	}
--- a/internal/forwarder/watch_test.go
+++ b/internal/forwarder/watch_test.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s := resultWithin(t, w, time.Second); s.ended {
+	if s := resultWithin(t, w, time.Second); s.refused {
 		t.Fatal("a living target was seen to have ended")
 	}
 	_ = first.Close()
@@ -58,7 +58,7 @@
 	_ = l.Close()
 	_ = last.Close()
 	const down = 30 * time.Millisecond
-	if s := resultWithin(t, w, down); !s.ended {
+	if s := resultWithin(t, w, down); !s.refused {
 		t.Fatal("the end was not seen")
 	}
 	l, err = net.Listen("tcp", addr)
@@ -67,7 +67,7 @@
 	}
 	defer l.Close()
 	for end := time.Now().Add(2 * maxWatchRetry); ; {
-		if s := resultWithin(t, w, time.Until(end)); !s.ended {
+		if s := resultWithin(t, w, time.Until(end)); !s.refused {
 			return
 		}
 	}
@@ -127,7 +127,7 @@
 	defer w.set(nil)
 	select {
 	case r := <-w.results:
-		t.Errorf("target %s was seen to have ended: %v", r.target.ID, r.ended)
+		t.Errorf("target %s was seen to have ended: %v", r.target.ID, r.refused)
 	case <-time.After(2 * maxWatchRetry):
 	}
 }
