control: probe a silent zone, so that its targets are taken over

Cause: with more than 9 VMs each exchanges heartbeats with some others only, and counts the rest as alive while their zone's list names them. When a whole zone was lost, nobody heard enough of it to empty its list, and its targets stayed without a holder. VMs that did remove a member also added it again at once: it was no longer watched then, and so counted as live. Ruled out: authority and the platform's list, which do not differ between 9 and 24 VMs. Requiring heartbeats for the own zone, too, was tried: at 200 VMs without any loss the list lost 38 members in 25 s (TestRelayBounds). Change: a VM that hears none of the members that it exchanges heartbeats with does so with all of them, up to 32 a zone, until one is heard; these do not count for the question whether this VM is in a minority. A member of another zone is added to its list only by a VM that exchanges heartbeats with it. Zones of more than 32 members are not probed (docs/CAPACITY.md).

--- a/core/control/heartbeat.go
+++ b/core/control/heartbeat.go
@@ -18,6 +18,9 @@
 	// number of hops logarithmic.
 	zoneRings  = 3
 	fleetRings = 1
+	// maxProbed bounds the members of a silent zone that get heartbeats from all VMs that miss it, 12 KB/s
+	// of each while the zone is silent. The loss of a larger zone is not noticed.
+	maxProbed = 32
 	// maxProven bounds the VMs that have to acknowledge a takeover. In a larger zone only watched
 	// VMs and the former holder do.
 	maxProven = 32
@@ -214,10 +217,56 @@
 	for ring := range uint64(fleetRings) {
 		chosen = c.addNeighbours(chosen, all, zoneRings+ring)
 	}
+	chosen = c.addProbed(chosen, all)
 	slices.SortFunc(chosen, func(a, b *peer) int { return compare(a.name, b.name) })
 	return chosen
 }
 
+// addProbed adds the members of zones that are probed.
+func (c *Control) addProbed(chosen, peers []*peer) []*peer {
+	for _, p := range peers {
+		z := c.zones.get(p.zone)
+		p.probed = z != nil && z.probed && c.isMember(p.name) && !slices.Contains(chosen, p)
+		if p.probed {
+			chosen = append(chosen, p)
+		}
+	}
+	return chosen
+}
+
+// probeSilentZones begins heartbeats to all members of another zone when none of those that this VM
+// exchanges them with is heard, and ends them when one is. In a fleet in which each VM hears only some
+// others, nobody would find otherwise that a whole zone is lost.
+func (c *Control) probeSilentZones() {
+	c.zones.all(func(name core.ZoneName, z *zone) bool {
+		silent := name != c.opts.Zone && len(z.members) <= maxProbed && len(c.peers.keys) > maxHeartbeatPeers && c.zoneSilent(z)
+		if silent != z.probed {
+			z.probed, z.probedAt = silent, c.now
+			c.touch(changeStructure)
+		}
+		return true
+	})
+}
+
+// zoneSilent reports whether this VM exchanges heartbeats with members of a zone and hears none.
+func (c *Control) zoneSilent(z *zone) bool {
+	if z.probed {
+		return z.heardAt <= z.probedAt && len(z.members) > 0
+	}
+	silent := false
+	for _, m := range z.members {
+		p := c.peers.get(m.Name)
+		if p == nil || !p.watched {
+			continue
+		}
+		if !p.suspect && !p.gone(m.Incarnation) {
+			return false
+		}
+		silent = true
+	}
+	return silent
+}
+
 // addNeighbours adds the successor and predecessor of this VM in a ring of peers.
 func (c *Control) addNeighbours(chosen, peers []*peer, ring uint64) []*peer {
 	if len(peers) == 0 {
@@ -242,6 +291,9 @@
 		return
 	}
 	wasLive := p.live()
+	if z := c.zones.get(m.Zone); z != nil {
+		z.heardAt = c.now
+	}
 	c.noteLife(p, m)
 	c.noteAck(p, m)
 	c.noteHoldings(p, m.Holdings)
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -56,6 +56,11 @@
 	// changeSince is when the list was first found to need a change.
 	changeSince time.Duration
 	checkedAt   time.Duration
+	// heardAt is when a VM of the zone was heard last. probed is true since probedAt while this VM
+	// exchanges heartbeats with all members, as none of those that it did so with was heard.
+	heardAt  time.Duration
+	probed   bool
+	probedAt time.Duration
 }
 
 // zone returns the state of the named zone and creates it if needed.
@@ -360,7 +365,7 @@
 	c.zones.all(func(_ core.ZoneName, z *zone) bool {
 		for _, m := range z.members {
 			p := c.peers.get(m.Name)
-			if p == nil || !p.watched || p.gone(m.Incarnation) {
+			if p == nil || !p.watched || p.probed || p.gone(m.Incarnation) {
 				continue
 			}
 			all++
@@ -394,7 +399,9 @@
 		add(c.opts.Self, c.opts.Incarnation, c.opts.Addr)
 	}
 	c.peers.all(func(_ core.VMName, p *peer) bool {
-		if p.zone == z.name && p.live() && p.state != core.VMLeaving && c.now-p.heardSince >= joinAfter {
+		// A removed member of another zone gets no heartbeats, so that this VM would not see that it is silent.
+		known := p.watched || z.name == c.opts.Zone
+		if p.zone == z.name && known && p.live() && p.state != core.VMLeaving && c.now-p.heardSince >= joinAfter {
 			add(p.name, p.incarnation, p.addr)
 		}
 		return true
--- a/core/control/peer.go
+++ b/core/control/peer.go
@@ -48,6 +48,8 @@
 	// watched is true when this VM and the peer exchange heartbeats. Only then does silence mean
 	// anything.
 	watched bool
+	// probed is true when that is so only because its whole zone is silent.
+	probed bool
 	// deadUpTo is the newest incarnation that is known to have ended; diedAt is when that was
 	// learned.
 	dead     bool
@@ -200,6 +202,7 @@
 		}
 		return true
 	})
+	c.probeSilentZones()
 	// A removed VM is no longer silent once it has lost authority.
 	if c.view.last != nil && !slices.Equal(c.silentPeers(), c.view.last.Silent) {
 		c.touch(changeView)
--- a/internal/capacity/relay_test.go
+++ b/internal/capacity/relay_test.go
@@ -74,15 +74,19 @@
 // no heartbeats with the zone have to learn of its loss too (design page, section 4.2).
 func TestZoneLoss(t *testing.T) {
 	t.Parallel()
-	for _, vms := range []int{9, 24} {
-		f := NewFleet(FleetOptions{Seed: 1, VMs: vms, Zones: 3, Targets: 30})
+	for _, run := range []struct {
+		vms  int
+		seed uint64
+	}{{9, 1}, {24, 1}, {24, 2}, {45, 1}} {
+		vms := run.vms
+		f := NewFleet(FleetOptions{Seed: run.seed, VMs: vms, Zones: 3, Targets: 30})
 		f.Run(15 * time.Second)
 		for i := 0; i < vms; i += 3 {
 			f.Lose(VMName(i))
 		}
 		f.Run(2 * time.Minute)
 		if k := f.Knowledge(); k.Unheld > 0 {
-			t.Errorf("%d VMs: nobody holds %.0f%% of the targets 2 min after a zone was lost", vms, 100*k.Unheld)
+			t.Errorf("%d VMs, seed %d: nobody holds %.0f%% of the targets 2 min after a zone was lost", vms, run.seed, 100*k.Unheld)
 		}
 	}
 }
