--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -4,21 +4,21 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"syscall"
 	"testing"
-	"time"
 )
 
-// life is how long a helper process runs; it never calls signal.Notify.
-const life = 300 * time.Millisecond
-
-// TestMain runs the helper processes of TestHangup.
+// TestMain runs the helper processes of TestHangup, which never call signal.Notify and run until their
+// standard input ends.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 1 && (os.Args[1] == "forward" || os.Args[1] == "demo") {
 		fmt.Println("started")
-		time.Sleep(life)
+		if _, err := io.Copy(io.Discard, os.Stdin); err != nil {
+			os.Exit(1)
+		}
 		os.Exit(0)
 	}
 	os.Exit(m.Run())
@@ -33,6 +33,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -42,6 +46,9 @@
 	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
+	if err := in.Close(); err != nil {
+		t.Fatal(err)
+	}
 	err = cmd.Wait()
 	var exit *exec.ExitError
 	if !errors.As(err, &exit) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,6 +54,8 @@
 	{"lapse-restart", 121, hand, handRun},
 	// A VM that started during a cold start took it to end up to 0.94 s too early: 11 new flows, 8 borne.
 	{"late-subscriber", 3, hand, handRun},
+	// A zone is out, and back with cold targets, while the store serves no VM. See KNOWN-RED.txt.
+	{"unheard-return", 437, hand, handRun},
 }
 
 // Guards against rules that break in real processes under overlapping faults and changes.
