forwarder, feed, apicall: show the age by kind, the role, and the time and size of a failed watch

Change: mangoweir_data_age_seconds{kind}, mangoweir_source_role{role}; role and peer in the lines of changes; took_ms and the bytes that had arrived in the line of a failed watch.

--- a/internal/apicall/client.go
+++ b/internal/apicall/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -144,7 +145,7 @@
 	// One byte more than the maximum is read, so that a longer body is detected.
 	body, err := io.ReadAll(io.LimitReader(res.Body, call.MaxBody+1))
 	if err != nil {
-		return nil, call.NoResponse(err)
+		return nil, call.NoResponse(fmt.Errorf("the response ended after %d bytes: %w", len(body), err))
 	}
 	if int64(len(body)) > call.MaxBody {
 		return nil, call.MalformedResponse()
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -296,6 +296,7 @@
 			}
 			continue
 		}
+		began := s.Now()
 		update, err := s.Store.Watch(ctx, kind, s.knownRevision(kind), wait)
 		wait = firstWatchWait
 		switch {
@@ -309,7 +310,8 @@
 			}
 		case err != nil:
 			s.recordFailure()
-			s.Log.Warn("a watch failed", "kind", kind.String(), "after", s.knownRevision(kind), "error", err)
+			s.Log.Warn("a watch failed", "kind", kind.String(), "after", s.knownRevision(kind),
+				"took_ms", (s.Now() - began).Milliseconds(), "error", err)
 			sleep(ctx, randomBackoff())
 		default:
 			wait = watchWait
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -127,6 +127,7 @@
 		c.noFeedSince = c.shared.clock.now()
 	}
 	c.state = state
+	c.shared.role.Store(&state.Role)
 	c.updateWatchedTargets()
 }
 
@@ -237,7 +238,7 @@
 		}
 		c.log.Info(ch.Event, "kind", update.Kind.String(), "name", ch.Name, "revision", ch.Revision,
 			"as_of", update.AsOf, "age_ms", age.Milliseconds(), "detail", ch.Detail,
-			"config", c.registry.ConfigVersion())
+			"config", c.registry.ConfigVersion(), "role", string(c.state.Role), "peer", c.state.Peer)
 	}
 	if update.Nameless > 0 {
 		c.log.Warn("left out objects without a readable name", "kind", update.Kind.String(), "objects", update.Nameless)
@@ -252,6 +253,9 @@
 // publish makes the newest state available to the other threads.
 func (c *control) publish() {
 	now := c.shared.clock.now()
+	for kind := range registry.Kind(registry.NumKinds) {
+		c.shared.confirmedAt[kind].Store(int64(c.registry.ConfirmedAt(kind)))
+	}
 	c.registry.SetMembers(c.vmID(), c.membership.Members(now))
 	if !c.registry.Complete() {
 		// Without all kinds, new flows could be refused for want of targets, or go to a zone that is out of service.
--- a/internal/forwarder/control_test.go
+++ b/internal/forwarder/control_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,3 +174,34 @@
 		p.stopBegan += shift
 	}
 }
+
+// Guards against late configurations that metrics cannot explain: one age for all kinds does not show that the watch of
+// one kind fails while those of the others are answered, nor does it show the source of updates (issue 21).
+func TestMetricsShowAgeByKindAndRole(t *testing.T) {
+	c, _ := testControl(t)
+	now := c.shared.clock.now()
+	c.setState(feed.State{Role: feed.Reading})
+	c.handleUpdate(&registry.Update{Kind: registry.Targets, AsOf: 7}, now)
+	c.handleUpdate(&registry.Update{Kind: registry.Configs, AsOf: 7}, now-time.Minute)
+	c.publish()
+	var b strings.Builder
+	c.metrics.set.WritePrometheus(&b)
+	value := func(name string) float64 {
+		_, rest, _ := strings.Cut(b.String(), name+" ")
+		line, _, _ := strings.Cut(rest, "\n")
+		v, err := strconv.ParseFloat(line, 64)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		return v
+	}
+	if age := value(`mangoweir_data_age_seconds{kind="targets"}`); age >= 60 {
+		t.Errorf("the targets are %f s old", age)
+	}
+	if age := value(`mangoweir_data_age_seconds{kind="config"}`); age < 60 {
+		t.Errorf("the configuration is %f s old, want a minute", age)
+	}
+	if value(`mangoweir_source_role{role="reader"}`) != 1 || value(`mangoweir_source_role{role="subscriber"}`) != 0 {
+		t.Error("the role is not shown")
+	}
+}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/mangoweir/mangoweir/core/forward"
 	"github.com/mangoweir/mangoweir/core/registry"
+	"github.com/mangoweir/mangoweir/internal/feed"
 	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
 
@@ -94,6 +96,20 @@
 		// Before the first snapshot, this is the time since the start.
 		return max(0, (shared.clock.now() - max(clockStart, time.Duration(shared.freshUntil.Load()))).Seconds())
 	})
+	for k := range registry.Kind(registry.NumKinds) {
+		set.NewGauge(fmt.Sprintf("mangoweir_data_age_seconds{kind=%q}", k), func() float64 {
+			// Before the first confirmation, this is the time since the start.
+			return (shared.clock.now() - cmp.Or(time.Duration(shared.confirmedAt[k].Load()), clockStart)).Seconds()
+		})
+	}
+	for _, role := range []feed.Role{feed.Starting, feed.Reading, feed.Subscribed, feed.Borrowing, feed.Searching} {
+		set.NewGauge(fmt.Sprintf("mangoweir_source_role{role=%q}", string(role)), func() float64 {
+			if current := shared.role.Load(); current != nil && *current == role {
+				return 1
+			}
+			return 0
+		})
+	}
 	set.NewGauge("mangoweir_ready", func() float64 {
 		if shared.ready() {
 			return 1
--- a/internal/forwarder/shared.go
+++ b/internal/forwarder/shared.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 
 	"github.com/mangoweir/mangoweir/core/forward"
+	"github.com/mangoweir/mangoweir/core/registry"
+	"github.com/mangoweir/mangoweir/internal/feed"
 )
 
 // sharedState is the state that the threads of the process share.
@@ -16,6 +18,10 @@
 	freshUntil atomic.Int64
 	// freshSince is the time since which the snapshots have been fresh without a gap.
 	freshSince atomic.Int64
+	// confirmedAt are the times at which the store last confirmed each kind of object; 0 before the first time.
+	confirmedAt [registry.NumKinds]atomic.Int64
+	// role is the way in which the VM receives the changes of the store.
+	role atomic.Pointer[feed.Role]
 	// stopping is true from SIGTERM on, isolated while neither the store nor another VM can be reached, and
 	// cannotServe while no target can be reached that may get new flows.
 	stopping, isolated, cannotServe atomic.Bool
