--- a/internal/apicall/errors.go
+++ b/internal/apicall/errors.go
@@ -1,6 +1,7 @@
 package apicall
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -47,6 +48,26 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
 
+// IncompleteResponseError reports that a response to a read began, but did not end in time or within the maximum size.
+// The server serves the caller; the same call is likely to fail again.
+type IncompleteResponseError struct {
+	Op string
+	// Bytes is the number of bytes of the body that arrived.
+	Bytes int
+	Err   error
+}
+
+// Error names the call, the bytes that arrived and the cause.
+func (e *IncompleteResponseError) Error() string {
+	return fmt.Sprintf("%s: the response ended after %d bytes: %v; request less at once", e.Op, e.Bytes, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *IncompleteResponseError) Unwrap() error { return e.Err }
+
+// errTooLarge reports that a response exceeds the maximum size of the call.
+var errTooLarge = errors.New("it exceeds the maximum size")
+
 // RateLimitedError reports that a call exceeds the platform's rate limit, or that it would have to wait for
 // the client's own rate limit beyond its deadline. Nothing was written.
 type RateLimitedError struct {
--- a/internal/apicall/retry.go
+++ b/internal/apicall/retry.go
@@ -54,6 +54,7 @@
 		unavailable *UnavailableError
 		limited     *RateLimitedError
 		unknown     *UnknownOutcomeError
+		incomplete  *IncompleteResponseError
 	)
 	switch {
 	case call.Wait > 0:
@@ -62,7 +63,7 @@
 		return call.Idempotent
 	default:
 		// After these errors the call has had no effect.
-		return errors.As(err, &unavailable) || errors.As(err, &limited) && limited.RetryAfter <= maxBackoff
+		return errors.As(err, &unavailable) || errors.As(err, &incomplete) && !errors.Is(err, errTooLarge) || errors.As(err, &limited) && limited.RetryAfter <= maxBackoff
 	}
 }
 
