feed: catch up on the configuration by a list instead of all versions since

Cause: a reader that had missed versions repeated a watch from its last one. The store returns every version since, each with all routes, so that the response grows with each version, while the time and size for it are fixed: it never ended. The subscribers replaced the reader, and the next one repeated the same watch. Change: when its data of the configuration is older than 1 s, a reader lists it before it watches: one version, whatever it has missed. A watch whose response begins but does not end in time or exceeds the maximum size is followed by a list, for every kind.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -280,10 +280,11 @@
 	}
 	for i := range message.Updates {
 		u := message.Updates[i]
-		s.advanceRevision(u)
+		s.advanceRevision(u, confirmation.ConfirmedAt[u.Kind])
 		event := Event{Update: &u}
 		event.ConfirmedAt[u.Kind] = confirmation.ConfirmedAt[u.Kind]
 		s.send(ctx, event)
 	}
+	s.recordConfirmations(confirmation.ConfirmedAt)
 	s.send(ctx, confirmation)
 }
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -39,6 +39,10 @@
 	// storeFailingAfter is the time in which all calls of a reader must have failed for the same consequences. A
 	// reader may be refused while the store serves others. Shorter faults usually end by themselves.
 	storeFailingAfter = 600 * time.Millisecond
+	// maxHistoryAge is the age of the configuration up to which a reader catches up by a watch. A watch returns each
+	// version since, with all routes, whereas a list returns only the newest one. Operators write at most about 3 versions
+	// per second.
+	maxHistoryAge = time.Second
 	// checkInterval is how often a reader without subscribers checks whether another VM is the reader.
 	checkInterval = 5 * time.Second
 	// maxClaimDelay and claimJitter spread the claims of the VMs of a zone. A VM with half a core (fullCPUShare)
@@ -82,6 +86,8 @@
 	reader Reader
 	// asOf is the revision up to which updates of each kind were delivered.
 	asOf [registry.NumKinds]uint64
+	// confirmedAt is when the store last confirmed each kind, to this VM or to the sender of an update.
+	confirmedAt [registry.NumKinds]time.Duration
 	// lastResponse is when the store's last response arrived, failingSince the time of the first failed call after
 	// it, or 0.
 	lastResponse, failingSince time.Duration
@@ -289,12 +295,15 @@
 func (s *Source) watch(ctx context.Context, kind registry.Kind) {
 	limiter := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
 	wait := firstWatchWait
+	mustList := false
 	for ctx.Err() == nil {
-		if s.knownRevision(kind) == 0 {
+		if mustList || s.mustList(kind) {
 			if s.list(ctx, kind) != nil {
+				s.recordFailure()
 				sleep(ctx, randomBackoff())
+				continue
 			}
-			continue
+			mustList, wait = false, watchWait
 		}
 		began := s.Now()
 		update, err := s.Store.Watch(ctx, kind, s.knownRevision(kind), wait)
@@ -302,12 +311,11 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, ErrHistoryGone):
+		case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrTooManyChanges):
 			s.recordResponse()
-			s.Log.Info("listing a kind again", "kind", kind.String(), "cause", err)
-			if s.list(ctx, kind) != nil {
-				sleep(ctx, randomBackoff())
-			}
+			s.Log.Info("listing a kind again", "kind", kind.String(), "after", s.knownRevision(kind),
+				"took_ms", (s.Now() - began).Milliseconds(), "cause", err)
+			mustList = true
 		case err != nil:
 			s.recordFailure()
 			s.Log.Warn("a watch failed", "kind", kind.String(), "after", s.knownRevision(kind),
@@ -323,6 +331,14 @@
 	}
 }
 
+// mustList reports whether a kind must be listed before it is watched: nothing of it is known, or the changes since may
+// be larger than the kind itself.
+func (s *Source) mustList(kind registry.Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asOf[kind] == 0 || kind == registry.Configs && s.Now()-s.confirmedAt[kind] > maxHistoryAge
+}
+
 // list reads all objects of a kind and delivers them.
 func (s *Source) list(ctx context.Context, kind registry.Kind) error {
 	u, err := s.Store.List(ctx, kind)
@@ -339,9 +355,10 @@
 // deliverUpdate sends an update that the store has just returned to the control thread.
 func (s *Source) deliverUpdate(ctx context.Context, u registry.Update) {
 	s.recordResponse()
-	s.advanceRevision(u)
+	now := s.Now()
+	s.advanceRevision(u, now)
 	e := Event{Update: &u}
-	e.ConfirmedAt[u.Kind] = s.Now()
+	e.ConfirmedAt[u.Kind] = now
 	s.send(ctx, e)
 }
 
@@ -391,11 +408,21 @@
 	return s.reader
 }
 
-// advanceRevision records the store's revision after an update.
-func (s *Source) advanceRevision(u registry.Update) {
+// advanceRevision records the store's revision after an update that it confirmed at the given time.
+func (s *Source) advanceRevision(u registry.Update, confirmedAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asOf[u.Kind] = max(s.asOf[u.Kind], u.AsOf)
+	s.confirmedAt[u.Kind] = max(s.confirmedAt[u.Kind], confirmedAt)
+}
+
+// recordConfirmations records when the store confirmed each kind to another VM.
+func (s *Source) recordConfirmations(at [registry.NumKinds]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for kind := range at {
+		s.confirmedAt[kind] = max(s.confirmedAt[kind], at[kind])
+	}
 }
 
 func (s *Source) knownRevision(kind registry.Kind) uint64 {
--- a/internal/feed/source_test.go
+++ b/internal/feed/source_test.go
@@ -105,7 +105,7 @@
 	}}
 	events := make(chan Event, 16)
 	s := NewSource(Options{VM: "vm-1", Store: store, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return 0 }, Events: events})
-	s.advanceRevision(registry.Update{Kind: registry.Targets, AsOf: 1})
+	s.advanceRevision(registry.Update{Kind: registry.Targets, AsOf: 1}, 0)
 	s.watch(ctx, registry.Targets)
 	want := []time.Duration{firstWatchWait, watchWait, watchWait, firstWatchWait, watchWait}
 	if !slices.Equal(waits, want) {
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -13,6 +13,9 @@
 // ErrHistoryGone reports that the store no longer has the changes after a revision.
 const ErrHistoryGone = errors.ConstError("the store has dropped this part of its history: list the kind again")
 
+// ErrTooManyChanges reports that a watch returned more changes than arrived in time, or than a response may contain.
+const ErrTooManyChanges = errors.ConstError("the changes since this revision do not arrive in time: list the kind instead")
+
 // Reader is the VM that reads the store for its zone.
 type Reader struct {
 	VM core.VMName `json:"vm"`
@@ -30,7 +33,7 @@
 	// List reads all objects of a kind.
 	List(ctx context.Context, kind registry.Kind) (registry.Update, error)
 	// Watch waits until objects of a kind have changed after a revision, or until wait has passed.
-	// Errors: ErrHistoryGone.
+	// Errors: ErrHistoryGone, ErrTooManyChanges.
 	Watch(ctx context.Context, kind registry.Kind, after uint64, wait time.Duration) (registry.Update, error)
 	// Reader returns the reader of a zone; its VM is empty when there is none. The result may be some seconds
 	// old, because such a call costs a tenth of a call with an up-to-date result.
