forwarder: let busy subscribers skip versions of the configuration

Cause: each version is sent whole to 16 subscribers, 1 MB for 1,400 routes, and up to 64 messages waited for each of them, so that every version and heartbeat was later than the one before. Their ages were those at queueing, so that subscribers took old data for fresh. Change: a subscriber for which more than 32 KB wait does not get the version; it gets the newest one when that has been sent. Until then its messages have the age of the configuration that it has. The system's send buffer takes 32 KB. Figures: TestBusySubscriberSkipsConfigurations fails before (40 of 40 versions sent) and passes.

--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -27,6 +27,12 @@
 	// queueLength is the maximum number of messages that are queued for a subscriber. When more are due, its
 	// connection is closed, and it subscribes again.
 	queueLength = 64
+	// maxBacklog is the number of bytes waiting for a subscriber from which no configuration is added. 16 subscribers
+	// receive as many in 0.4 s over a link of 10 Mbit/s.
+	maxBacklog = 32 << 10
+	// sendBuffer is the size of the system's buffer of a connection, in bytes. What it holds cannot be replaced by a newer
+	// version.
+	sendBuffer = 32 << 10
 	// subscribeTimeout is the timeout for the first message of a subscriber, writeTimeout the timeout for
 	// sending a message to it.
 	subscribeTimeout = time.Second
@@ -46,6 +52,8 @@
 	log           *slog.Logger
 	subscriptions chan *Subscriber
 	failures      chan []forward.TargetFailures
+	// drained receives the subscribers that are no longer backlogged.
+	drained chan *Subscriber
 	// states has an element for each VM that is being sent the whole state.
 	states chan struct{}
 
@@ -59,7 +67,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: l, log: log, subscriptions: make(chan *Subscriber, 16), failures: make(chan []forward.TargetFailures, 64), states: make(chan struct{}, maxStates)}
+	s := &Server{
+		listener: l, log: log, subscriptions: make(chan *Subscriber, 16), failures: make(chan []forward.TargetFailures, 64),
+		drained: make(chan *Subscriber, MaxSubscribers), states: make(chan struct{}, maxStates),
+	}
 	go s.accept()
 	return s, nil
 }
@@ -70,6 +81,10 @@
 // Failures returns the channel of failures of targets that subscribers report.
 func (s *Server) Failures() <-chan []forward.TargetFailures { return s.failures }
 
+// Drained returns the channel of subscribers that are no longer backlogged. A subscriber is left out while the channel is
+// full.
+func (s *Server) Drained() <-chan *Subscriber { return s.drained }
+
 // Addr returns the address at which the server listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -120,6 +135,11 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetWriteBuffer(sendBuffer); err != nil {
+			s.log.Warn("cannot set the send buffer", "bytes", sendBuffer, "error", err)
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	sub := &Subscriber{
 		VM: core.VMName(first.Vm), Zone: core.ZoneName(first.Zone), Address: first.Address, StateOnly: first.StateOnly,
@@ -144,7 +164,7 @@
 		}
 	}
 	s.subscriptions <- sub
-	sub.writeMessages(ctx, conn)
+	sub.writeMessages(ctx, conn, s.drained)
 }
 
 // receiveReports receives the messages that a subscriber sends when its downstream VMs change, and the failures that
@@ -179,6 +199,13 @@
 	// did not have.
 	AsOf [registry.NumKinds]uint64
 
+	// ConfigDue is true while the newest configuration waits until nothing else does, ConfigConfirmedAt is when the store
+	// last confirmed the one that the subscriber has. Both belong to the control thread.
+	ConfigDue         bool
+	ConfigConfirmedAt time.Duration
+
+	// queued is the number of bytes that wait to be sent.
+	queued atomic.Int64
 	// vms is the number of VMs that receive the change feed through the subscriber, itself included.
 	vms atomic.Int64
 	// members are the VMs among these that are in the subscriber's zone.
@@ -205,8 +232,12 @@
 // AddRedirected records that one more VM was redirected to the subscriber.
 func (s *Subscriber) AddRedirected() { s.vms.Add(1) }
 
+// Backlogged reports whether so much waits for the subscriber that a configuration would be outdated when it arrives.
+func (s *Subscriber) Backlogged() bool { return s.queued.Load() > maxBacklog }
+
 // Send queues an encoded message. It closes the subscription when the queue is full.
 func (s *Subscriber) Send(message []byte) {
+	s.queued.Add(int64(len(message)))
 	select {
 	case s.queue <- message:
 	default:
@@ -227,7 +258,9 @@
 // Close ends the subscription.
 func (s *Subscriber) Close() { s.close() }
 
-func (s *Subscriber) writeMessages(ctx context.Context, conn net.Conn) {
+// writeMessages writes queued messages until ctx or the connection ends, and sends the subscriber to drained when it is no
+// longer backlogged.
+func (s *Subscriber) writeMessages(ctx context.Context, conn net.Conn, drained chan<- *Subscriber) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -237,6 +270,14 @@
 			if _, err := conn.Write(b); err != nil {
 				return
 			}
+			left := s.queued.Add(-int64(len(b)))
+			if left > maxBacklog || left+int64(len(b)) <= maxBacklog {
+				continue
+			}
+			select {
+			case drained <- s:
+			default:
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/forwarder/configs_test.go
@@ -0,0 +1,73 @@
+package forwarder
+
+import (
+	"bufio"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/mangoweir/mangoweir/core/registry"
+	"github.com/mangoweir/mangoweir/internal/feed/feedpb"
+)
+
+// configUpdate returns an update with a version of a configuration of 1,400 routes, the number of the largest one of the
+// users' deployments.
+func configUpdate(version uint64) *registry.Update {
+	config := &registry.Config{Version: version}
+	for i := range 1400 {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i / 250), byte(i % 250)}), 8443)
+		config.Routes = append(config.Routes, registry.Route{
+			Name: fmt.Sprintf("r-%07d", i), Addr: addr, Backends: []registry.Backend{{Service: "desk", Weight: 1}},
+		})
+	}
+	return &registry.Update{Kind: registry.Configs, AsOf: version, Records: []registry.Record{{
+		Name: registry.ConfigName, Revision: version, Config: config,
+	}}}
+}
+
+// Guards against configurations that arrive ever later at the subscribers of a VM with a small link: each version waited
+// behind all earlier ones, and the data counted as confirmed when it was queued (issue 21).
+func TestBusySubscriberSkipsConfigurations(t *testing.T) {
+	const (
+		versions = 40
+		wait     = 200 * time.Millisecond
+	)
+	c, conn := testSubscription(t)
+	// The subscriber does not read meanwhile, as if its link carried nothing.
+	for version := range uint64(versions) {
+		c.handleUpdate(configUpdate(version+1), c.shared.clock.now())
+	}
+	time.Sleep(wait)
+	c.registry.Confirm(registry.Configs, c.shared.clock.now())
+	c.heartbeat()
+
+	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	subscriber := bufio.NewReader(conn)
+	received, last := 0, uint64(0)
+	var age time.Duration
+	for last < versions {
+		var m feedpb.Message
+		if err := protodelim.UnmarshalFrom(subscriber, &m); err != nil {
+			t.Fatalf("version %d is the last of %d that arrive: %v", last, received, err)
+		}
+		for _, u := range m.Updates {
+			received++
+			last = u.Records[0].Config.Version
+		}
+		if len(m.Updates) == 0 {
+			age = time.Duration(m.AgeMillis[registry.Configs]) * time.Millisecond
+		}
+		c.sendDueConfigs()
+	}
+	if limit := versions / 2; received > limit {
+		t.Errorf("%d of %d versions were sent, want at most %d", received, versions, limit)
+	}
+	if age < wait {
+		t.Errorf("the heartbeat before the newest version gives the older one an age of %s, want %s or more", age, wait)
+	}
+}
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -226,7 +226,7 @@
 
 // handleUpdate applies an update, sends it to the subscribers and logs what it changed.
 func (c *control) handleUpdate(update *registry.Update, at time.Duration) {
-	previous := c.registry.AsOf(update.Kind)
+	previous, confirmedAt := c.registry.AsOf(update.Kind), c.registry.ConfirmedAt(update.Kind)
 	changes := c.registry.Apply(*update, at)
 	c.metrics.updates[update.Kind].Inc()
 	c.metrics.changes[update.Kind].Add(len(changes))
@@ -246,7 +246,10 @@
 	// An update that this VM already has is not sent on: two VMs that subscribe to each other would exchange
 	// it endlessly.
 	if update.AsOf > previous && (len(update.Records) > 0 || update.Full) {
-		c.broadcast(feed.Message{Updates: []registry.Update{*update}})
+		if update.Kind == registry.Configs {
+			c.deferConfigs(confirmedAt)
+		}
+		c.broadcastUpdate(*update)
 	}
 }
 
@@ -317,6 +320,7 @@
 	}
 }
 
+// send sends a message with the ages of the data that each recipient has.
 func (c *control) send(message feed.Message, recipients ...*feed.Subscriber) {
 	now := c.shared.clock.now()
 	for kind := range registry.Kind(registry.NumKinds) {
@@ -330,6 +334,23 @@
 	if c.state.Role == feed.Reading {
 		message.StoreFailing = c.source.StoreFailing()
 	}
+	var current []*feed.Subscriber
+	for _, sub := range recipients {
+		if !sub.ConfigDue {
+			current = append(current, sub)
+			continue
+		}
+		older := message
+		older.Ages = slices.Clone(message.Ages)
+		older.Ages[registry.Configs] = now - sub.ConfigConfirmedAt
+		c.encodeAndSend(older, sub)
+	}
+	if len(current) > 0 {
+		c.encodeAndSend(message, current...)
+	}
+}
+
+func (c *control) encodeAndSend(message feed.Message, recipients ...*feed.Subscriber) {
 	b, err := message.Encode()
 	if err != nil {
 		c.log.Error("cannot encode a message to subscribers", "error", err)
@@ -417,6 +438,7 @@
 		c.log.Warn("the process was paused", "milliseconds", pause.Milliseconds())
 	}
 	c.removeClosedSubscribers()
+	c.sendDueConfigs()
 	if now >= c.heartbeatAt {
 		c.heartbeatAt = now + feed.HeartbeatInterval
 		c.heartbeat()
--- a/internal/forwarder/control_test.go
+++ b/internal/forwarder/control_test.go
@@ -19,8 +19,18 @@
 	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
 
-// testControl returns a control thread without sockets, and a connection that is subscribed to it.
+// testControl returns a control thread without sockets, and a connection that is subscribed to it. Its deadline is 300 ms.
 func testControl(t *testing.T) (*control, *bufio.Reader) {
+	t.Helper()
+	c, conn := testSubscription(t)
+	if err := conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	return c, bufio.NewReader(conn)
+}
+
+// testSubscription returns a control thread without sockets, and a connection that is subscribed to it.
+func testSubscription(t *testing.T) (*control, net.Conn) {
 	t.Helper()
 	server, err := feed.Listen("127.0.0.1:0", slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -42,10 +52,7 @@
 	}
 	c.metrics = newControlMetrics(telemetry.NewMetrics(), shared, func() int { return 0 })
 	c.addSubscriber(<-server.Subscriptions())
-	if err := conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond)); err != nil {
-		t.Fatal(err)
-	}
-	return c, bufio.NewReader(conn)
+	return c, conn
 }
 
 // countUpdates returns the number of updates that a subscriber gets until its connection's deadline.
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -68,6 +68,8 @@
 	// ended, returned and restarted count the ends, returns and restarts of targets that the watcher's connections
 	// showed.
 	ended, returned, restarted *metrics.Counter
+	// deferredConfigs counts configurations that a subscriber did not get at once, because its link was busy.
+	deferredConfigs *metrics.Counter
 	// ejected counts ejections of targets.
 	ejected *metrics.Counter
 }
@@ -79,8 +81,9 @@
 		ended:    set.NewCounter(`mangoweir_target_transitions_total{to="ended"}`),
 		returned: set.NewCounter(`mangoweir_target_transitions_total{to="returned"}`),
 
-		restarted: set.NewCounter(`mangoweir_target_transitions_total{to="restarted"}`),
-		ejected:   set.NewCounter("mangoweir_target_ejections_total"),
+		restarted:       set.NewCounter(`mangoweir_target_transitions_total{to="restarted"}`),
+		deferredConfigs: set.NewCounter("mangoweir_deferred_configs_total"),
+		ejected:         set.NewCounter("mangoweir_target_ejections_total"),
 	}
 	for k := range registry.Kind(registry.NumKinds) {
 		c.updates[k] = set.NewCounter(fmt.Sprintf("mangoweir_updates_total{kind=%q}", k))
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -184,6 +184,8 @@
 			p.handleFailures(failures)
 		case sub := <-p.server.Subscriptions():
 			p.addSubscriber(sub)
+		case <-p.server.Drained():
+			p.sendDueConfigs()
 		case <-timer.C:
 			p.tick()
 		case received := <-signals:
