feed: record the revision of an update only after it was sent to the control thread

The revision was recorded first. When the context ended before the busy control thread had room, the update was lost, and the VM subscribed to the next reader as if it had it: the configuration was missing until the next version. With two sources at the same time, later changes could also arrive first, and the update was then ignored as an older one. Change: the revision is recorded after the update was sent; a confirmation does not follow an update that was not sent. Figures: TestRevisionOfUndeliveredUpdateIsNotRecorded fails before (revision 7 recorded) and passes.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -280,10 +280,10 @@
 	}
 	for i := range message.Updates {
 		u := message.Updates[i]
-		s.advanceRevision(u, confirmation.ConfirmedAt[u.Kind])
-		event := Event{Update: &u}
-		event.ConfirmedAt[u.Kind] = confirmation.ConfirmedAt[u.Kind]
-		s.send(ctx, event)
+		if !s.sendUpdate(ctx, u, confirmation.ConfirmedAt[u.Kind]) {
+			// Without the update, the confirmation would be one of older data.
+			return
+		}
 	}
 	s.recordConfirmations(confirmation.ConfirmedAt)
 	s.send(ctx, confirmation)
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -355,11 +355,20 @@
 // deliverUpdate sends an update that the store has just returned to the control thread.
 func (s *Source) deliverUpdate(ctx context.Context, u registry.Update) {
 	s.recordResponse()
-	now := s.Now()
-	s.advanceRevision(u, now)
+	s.sendUpdate(ctx, u, s.Now())
+}
+
+// sendUpdate sends an update that the store confirmed at the given time to the control thread, and then records its
+// revision. A revision that was recorded before could be the start of later changes that arrive first, and this update
+// would then be ignored as an older one; it would be missing if ctx ended meanwhile. It reports whether it sent the update.
+func (s *Source) sendUpdate(ctx context.Context, u registry.Update, confirmedAt time.Duration) bool {
 	e := Event{Update: &u}
-	e.ConfirmedAt[u.Kind] = now
-	s.send(ctx, e)
+	e.ConfirmedAt[u.Kind] = confirmedAt
+	if !s.send(ctx, e) {
+		return false
+	}
+	s.advanceRevision(u, confirmedAt)
+	return true
 }
 
 // recordResponse records that a response of the store has just arrived.
@@ -435,10 +444,13 @@
 	s.send(context.Background(), Event{State: &State{Role: r, Peer: peer, Cause: cause}})
 }
 
-func (s *Source) send(ctx context.Context, e Event) {
+// send sends an event to the control thread and reports whether it did so before ctx ended.
+func (s *Source) send(ctx context.Context, e Event) bool {
 	select {
 	case s.Events <- e:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/feed/source_test.go
+++ b/internal/feed/source_test.go
@@ -112,3 +112,22 @@
 		t.Errorf("waits %v, want %v", waits, want)
 	}
 }
+
+// Guards against a configuration that is missing until the next one is written: a reader that was replaced while its
+// control thread was busy had recorded the revision of an update that the control thread never received, and did not
+// request it from the next reader.
+func TestRevisionOfUndeliveredUpdateIsNotRecorded(t *testing.T) {
+	events := make(chan Event)
+	s := testSource(&readerStore{}, events)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.deliverUpdate(ctx, registry.Update{Kind: registry.Configs, AsOf: 7})
+	if revision := s.knownRevision(registry.Configs); revision != 0 {
+		t.Errorf("revision %d is recorded although the update was not delivered", revision)
+	}
+	go func() { <-events }()
+	s.deliverUpdate(t.Context(), registry.Update{Kind: registry.Configs, AsOf: 7})
+	if revision := s.knownRevision(registry.Configs); revision != 7 {
+		t.Errorf("revision %d is recorded after the update was delivered, want 7", revision)
+	}
+}
