feed: read what no source of updates has confirmed for 2.6 s from the store itself

Cause: the times to notice and to replace a reader are bounded one by one: 1.5 s of silence or 2.5 s without data, 0.7 s to recover, 0.45 s to claim, 0.7 s to connect. Change: each VM has a deadline of its own. A kind that nobody has confirmed for 2.6 s is read from the store, by one call (a watch that returns at once, or a list), after an inexpensive call has shown that the store serves the VM. After an outage it waits 0.7 s for the readers first.

--- /dev/null
+++ b/internal/feed/refresh.go
@@ -0,0 +1,103 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/mangoweir/mangoweir/core/registry"
+)
+
+const (
+	// refreshAfter is the age of a kind from which a VM reads the kind from the store itself, whatever its source of
+	// updates. A change must be in force 3 s after its acknowledgement, while the time to notice that a reader is lost and
+	// to replace it is longer when readers are lost one after the other. Without a fault data is up to 2.5 s old:
+	// a watch and the heartbeats of two hops.
+	refreshAfter = watchWait + 2*HeartbeatInterval + 100*time.Millisecond
+	// refreshJitter spreads the reads of the VMs of a zone, which lose their reader at the same time.
+	refreshJitter = 150 * time.Millisecond
+	// immediateWatch is the wait of a watch that is to return at once.
+	immediateWatch = time.Millisecond
+)
+
+// keepCurrent reads kinds from the store that no source of updates has confirmed for refreshAfter, until ctx ends.
+func (s *Source) keepCurrent(ctx context.Context) {
+	served := true
+	for {
+		if !sleep(ctx, s.untilRefresh()+rand.N(refreshJitter)) {
+			return
+		}
+		kinds := s.outdated()
+		if len(kinds) == 0 {
+			continue
+		}
+		if !s.storeServes(ctx) {
+			served = false
+			sleep(ctx, randomBackoff())
+			continue
+		}
+		if !served {
+			// After an outage the readers return within this time, and other VMs need not read.
+			served = true
+			sleep(ctx, readerRecoveryTime)
+			kinds = s.outdated()
+		}
+		var wg sync.WaitGroup
+		for _, kind := range kinds {
+			wg.Go(func() {
+				if err := s.refresh(ctx, kind); err != nil && ctx.Err() == nil {
+					s.Log.Warn("cannot read a kind that no source of updates confirms", "kind", kind.String(), "error", err)
+					sleep(ctx, randomBackoff())
+				}
+			})
+		}
+		wg.Wait()
+	}
+}
+
+// untilRefresh returns the time until the first kind is due to be read, unless it is confirmed before.
+func (s *Source) untilRefresh() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Kinds that this VM has never read are left to readAll.
+	next := refreshAfter
+	for kind := range registry.Kind(registry.NumKinds) {
+		if s.asOf[kind] > 0 {
+			next = min(next, s.confirmedAt[kind]+refreshAfter-s.Now())
+		}
+	}
+	return max(0, next)
+}
+
+// outdated returns the kinds that were read before and that nobody has confirmed for refreshAfter.
+func (s *Source) outdated() []registry.Kind {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var kinds []registry.Kind
+	for kind := range registry.Kind(registry.NumKinds) {
+		if s.asOf[kind] > 0 && s.Now()-s.confirmedAt[kind] >= refreshAfter {
+			kinds = append(kinds, kind)
+		}
+	}
+	return kinds
+}
+
+// refresh reads the changes of a kind, or all its objects.
+func (s *Source) refresh(ctx context.Context, kind registry.Kind) error {
+	if s.mustList(kind) {
+		return s.list(ctx, kind)
+	}
+	after := s.knownRevision(kind)
+	update, err := s.Store.Watch(ctx, kind, after, immediateWatch)
+	switch {
+	case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrTooManyChanges):
+		return s.list(ctx, kind)
+	case err != nil:
+		return err
+	}
+	s.Log.Info("read a kind that no source of updates confirms", "kind", kind.String(), "after", after, "as_of", update.AsOf, "changes", len(update.Records))
+	s.deliverUpdate(ctx, update)
+	return nil
+}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -168,6 +168,7 @@
 		delay = firstReaderWait
 	}
 	go s.readAll(ctx, delay)
+	go s.keepCurrent(ctx)
 	if err == nil || delay > 0 {
 		s.followOrReplace(ctx, reader)
 	}
