feed: do not claim the reader's role while stopping

What callers saw: a zone without a reader for 0.6 s more. Cause: a planned stop closes the feed, but the source of updates did not know of it. Change: a VM that stops does not claim; it still receives updates while it forwards.

--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
 	"github.com/mangoweir/mangoweir/core"
@@ -81,6 +82,9 @@
 	// wake makes a subscription report failures without waiting for a message.
 	wake chan struct{}
 
+	// stopping is true once a planned stop of the VM has begun.
+	stopping atomic.Bool
+
 	mu sync.Mutex
 	// reader is the zone's reader as last read from the store.
 	reader Reader
@@ -133,6 +137,13 @@
 	}
 }
 
+// SetStopping records that a planned stop of the VM has begun. It does not claim the reader's role from then on: it no longer
+// accepts subscriptions, and its zone would lose one more reader.
+func (s *Source) SetStopping() { s.stopping.Store(true) }
+
+// errStopping reports that a VM does not claim the reader's role because it stops.
+const errStopping = errors.ConstError("the VM is stopping and does not claim the role: another VM of the zone will")
+
 // maxQueuedFailures is the maximum number of targets with failures that wait to be reported.
 const maxQueuedFailures = 1000
 
@@ -236,6 +247,9 @@
 		}
 		lost.Revision = max(lost.Revision, r.Revision)
 	}
+	if s.stopping.Load() {
+		return Reader{}, errStopping
+	}
 	// After a claim without a response, the next read of the object shows whether the claim took effect.
 	r, err := s.Store.Claim(ctx, s.Zone, Reader{VM: s.VM, Address: s.Address, Incarnation: s.incarnation, Revision: lost.Revision})
 	if err == nil {
--- a/internal/feed/source_test.go
+++ b/internal/feed/source_test.go
@@ -131,3 +131,14 @@
 		t.Errorf("revision %d is recorded after the update was delivered, want 7", revision)
 	}
 }
+
+// Guards against a zone that loses one more reader: a VM that was stopping claimed the role, while it accepted no
+// subscriptions any more (day big-storm, issue 21).
+func TestStoppingVMDoesNotClaim(t *testing.T) {
+	store := &readerStore{reader: Reader{VM: "vm-1", Revision: 19}}
+	s := testSource(store, make(chan Event, 16))
+	s.SetStopping()
+	if _, err := s.replaceReader(t.Context(), store.reader); !errors.Is(err, errStopping) || store.claims != 0 {
+		t.Errorf("error %v and %d claims, want none", err, store.claims)
+	}
+}
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -212,6 +212,7 @@
 // forwarding, since routers send packets until their probes have failed.
 func (p *process) stop(cause string) time.Duration {
 	p.shared.stopping.Store(true)
+	p.source.SetStopping()
 	p.server.Close()
 	for _, sub := range p.subscribers {
 		sub.Close()
