feed: send subscribers the changes of a configuration instead of all of it

Cause: the feed's cost followed the size of the configuration and not of the change, which is a route or two of 1,400. A VM without the earlier version subscribes again for the whole configuration; earlier programs get it whole.

--- a/core/registry/export.go
+++ b/core/registry/export.go
@@ -37,6 +37,15 @@
 	return update
 }
 
+// ExportConfig returns the configuration for a VM that has a version: as changes to it if it is a recent one, else whole.
+func (r *Registry) ExportConfig(version uint64) Update {
+	update := r.Export(Configs)
+	for i := range update.Records {
+		update.Records[i].Config = r.config.Since(r.configs.Get(version))
+	}
+	return update
+}
+
 // export returns the target's entry, with ColdRemaining counting from the given time.
 func (inc *incarnation) export(from time.Duration) Record {
 	rec := Record{Name: inc.id, Revision: inc.revision}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -50,8 +50,10 @@
 	config *Config
 	// configRevision is the revision of the object that holds the configuration.
 	configRevision uint64
-	droppedRoutes  map[forward.Endpoint]struct{}
-	targets        map[string]*incarnation
+	// configs are the most recent configurations.
+	configs       ConfigHistory
+	droppedRoutes map[forward.Endpoint]struct{}
+	targets       map[string]*incarnation
 	// byAddress contains the newest incarnation at each address.
 	byAddress map[netip.AddrPort]*incarnation
 	// previous contains incarnations that were replaced, by token.
@@ -287,6 +289,7 @@
 		}
 	}
 	r.config, r.configRevision = rec.Config, rec.Revision
+	r.configs.Add(rec.Config)
 	change.Event = "configuration in force"
 	return append(changes, change)
 }
--- a/core/registry/update.go
+++ b/core/registry/update.go
@@ -84,8 +84,12 @@
 
 // Config is a configuration of the operators.
 type Config struct {
-	Version  uint64
+	Version uint64
+	// Base is 0 for a whole configuration. Otherwise Routes are those that the configuration with this version does not
+	// have, and Removed are the addresses of those that it has in addition.
+	Base     uint64
 	Routes   []Route
+	Removed  []netip.AddrPort
 	Services []Service
 	// IdleTimeout is the time without packets after which client and target may discard a flow.
 	IdleTimeout time.Duration
--- a/internal/feed/encode.go
+++ b/internal/feed/encode.go
@@ -165,7 +165,7 @@
 }
 
 func encodeConfig(c *registry.Config) *feedpb.Config {
-	pb := &feedpb.Config{Version: c.Version, IdleMillis: uint64(c.IdleTimeout.Milliseconds())}
+	pb := &feedpb.Config{Version: c.Version, Base: c.Base, IdleMillis: uint64(c.IdleTimeout.Milliseconds())}
 	for i := range c.Routes {
 		addr, _ := forward.NewEndpoint(c.Routes[i].Addr)
 		route := &feedpb.Route{
@@ -177,6 +177,10 @@
 		}
 		pb.Routes = append(pb.Routes, route)
 	}
+	for _, removed := range c.Removed {
+		addr, _ := forward.NewEndpoint(removed)
+		pb.Removed = append(pb.Removed, &feedpb.Endpoint{Ip: addr.IP, Port: addr.Port})
+	}
 	for _, s := range c.Services {
 		pb.Services = append(pb.Services, &feedpb.Service{
 			Name: s.Name, ColdStartMillis: uint64(s.ColdStart.Milliseconds()), ColdPerSecond: s.ColdPerSecond,
@@ -245,7 +249,7 @@
 }
 
 func decodeConfig(pb *feedpb.Config) *registry.Config {
-	config := &registry.Config{Version: pb.Version, IdleTimeout: time.Duration(pb.IdleMillis) * time.Millisecond}
+	config := &registry.Config{Version: pb.Version, Base: pb.Base, IdleTimeout: time.Duration(pb.IdleMillis) * time.Millisecond}
 	for _, r := range pb.Routes {
 		route := registry.Route{
 			Name: r.Name, Addr: forward.Endpoint{IP: r.Ip, Port: r.Port}.AddrPort(),
@@ -256,6 +260,9 @@
 		}
 		config.Routes = append(config.Routes, route)
 	}
+	for _, removed := range pb.Removed {
+		config.Removed = append(config.Removed, forward.Endpoint{IP: removed.Ip, Port: removed.Port}.AddrPort())
+	}
 	for _, s := range pb.Services {
 		config.Services = append(config.Services, registry.Service{
 			Name:          s.Name,
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -124,7 +124,7 @@
 func (s *Source) sendSubscribe(conn net.Conn) error {
 	s.mu.Lock()
 	m := &feedpb.Subscribe{
-		Vm: string(s.VM), Zone: string(s.Zone), Address: s.Address, AsOf: slices.Clone(s.asOf[:]), Acknowledges: true, Vms: uint32(s.downstream.VMs + 1),
+		Vm: string(s.VM), Zone: string(s.Zone), Address: s.Address, AsOf: slices.Clone(s.asOf[:]), Acknowledges: true, ConfigVersion: s.configs.Latest(), Vms: uint32(s.downstream.VMs + 1),
 		Members: encodeVMIDs(append([]forward.VMID{forward.NewVMID(s.VM)}, s.downstream.Members...)),
 	}
 	m.Failures = encodeFailures(s.failures)
@@ -154,6 +154,29 @@
 	}
 }
 
+// completeConfigs replaces configurations in a message that are changes to an earlier one by whole ones. If this VM does not
+// have the earlier one, it forgets the revision that it has, so that the next subscription begins with a whole one, and
+// returns false.
+func (s *Source) completeConfigs(message *Message) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range message.Updates {
+		for j := range message.Updates[i].Records {
+			record := &message.Updates[i].Records[j]
+			if record.Config == nil || record.Config.Base == 0 {
+				continue
+			}
+			base := s.configs.Get(record.Config.Base)
+			if base == nil {
+				s.asOf[registry.Configs], s.configs = 0, registry.ConfigHistory{}
+				return false
+			}
+			record.Config = record.Config.ApplyTo(base)
+		}
+	}
+	return true
+}
+
 // acknowledge reports that a configuration has arrived, so that the sender sends the next one.
 func (s *Source) acknowledge(subscription *feedConn) {
 	if err := s.sendSubscribe(subscription.conn); err != nil {
@@ -226,6 +249,11 @@
 			end.redirect = message.Redirect
 			return end
 		}
+		if !s.completeConfigs(&message) {
+			s.Log.Info("subscribing again for the whole configuration", "address", subscription.address)
+			end.redirect = subscription.address
+			return end
+		}
 		s.sendSubscribeIfDue(subscription)
 		fresh := message.Ages != nil && slices.Max(message.Ages) < storeLostAfter && message.StoreFailing < storeFailingAfter
 		if !end.fresh && (fresh || fromReader) {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -200,8 +200,8 @@
 
 	// acknowledges is true for a VM that reports which configuration it has received. Earlier versions do not.
 	acknowledges bool
-	// configSent is the store's revision of the configuration that the subscriber was sent last, configReceived that of the
-	// one that it has received.
+	// configSent is the version of the configuration that the subscriber was sent last, configReceived the newest one that it
+	// has received.
 	configSent     uint64
 	configReceived atomic.Uint64
 	// vms is the number of VMs that receive the change feed through the subscriber, itself included.
@@ -218,9 +218,7 @@
 	s.vms.Store(int64(max(m.Vms, 1)))
 	members := decodeVMIDs(m.Members)
 	s.members.Store(&members)
-	if len(m.AsOf) == registry.NumKinds {
-		s.configReceived.Store(m.AsOf[registry.Configs])
-	}
+	s.configReceived.Store(m.ConfigVersion)
 }
 
 // Members returns the VMs of the subscriber's zone that receive the change feed through it, itself included.
@@ -233,8 +231,11 @@
 // AddRedirected records that one more VM was redirected to the subscriber.
 func (s *Subscriber) AddRedirected() { s.vms.Add(1) }
 
-// SetConfigSent records the revision of the configuration that the subscriber is sent. It belongs to the control thread.
-func (s *Subscriber) SetConfigSent(asOf uint64) { s.configSent = asOf }
+// SetConfigSent records the version of the configuration that the subscriber is sent. It belongs to the control thread.
+func (s *Subscriber) SetConfigSent(version uint64) { s.configSent = version }
+
+// ConfigReceived returns the newest version of the configuration that the subscriber has; 0 if that is not known.
+func (s *Subscriber) ConfigReceived() uint64 { return s.configReceived.Load() }
 
 // AwaitsConfig reports whether the subscriber has not received the configuration yet that it was sent. Another one would
 // wait behind it.
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -90,6 +90,8 @@
 	reader Reader
 	// asOf is the revision up to which updates of each kind were delivered.
 	asOf [registry.NumKinds]uint64
+	// configs are the configurations that this VM has received, to which others send changes.
+	configs registry.ConfigHistory
 	// confirmedAt is when the store last confirmed each kind, to this VM or to the sender of an update.
 	confirmedAt [registry.NumKinds]time.Duration
 	// lastResponse is when the store's last response arrived, failingSince the time of the first failed call after
@@ -438,6 +440,11 @@
 	defer s.mu.Unlock()
 	s.asOf[u.Kind] = max(s.asOf[u.Kind], u.AsOf)
 	s.confirmedAt[u.Kind] = max(s.confirmedAt[u.Kind], confirmedAt)
+	for i := range u.Records {
+		if config := u.Records[i].Config; config != nil {
+			s.configs.Add(config)
+		}
+	}
 }
 
 // recordConfirmations records when the store confirmed each kind to another VM.
--- a/internal/forwarder/configs.go
+++ b/internal/forwarder/configs.go
@@ -7,19 +7,25 @@
 	"github.com/mangoweir/mangoweir/internal/feed"
 )
 
-// A version of the configuration is sent whole to each subscriber: 60 KB for 1,400 routes. Operators may write versions
-// faster than a small link transmits them to all subscribers. A subscriber then skips versions rather than receive
-// each one later than the one before.
+// Operators may write versions of the configuration faster than a small link transmits them to all subscribers: a whole
+// one with 1,400 routes has 60 KB. A subscriber gets the changes to the version that it has acknowledged, and
+// skips versions rather than receive each one later than the one before.
 
-// deferConfigs notes the subscribers that do not get the configuration that has just come into force, because they have not
-// received an older one yet. confirmedAt is when the store last confirmed the previous configuration.
-func (c *control) deferConfigs(confirmedAt time.Duration) {
+// broadcastConfig sends the configuration that has just come into force to the subscribers that have received the one
+// that they were sent before, and notes the others. confirmedAt is when the store last confirmed the previous one.
+func (c *control) broadcastConfig(confirmedAt time.Duration) {
+	var recipients []*feed.Subscriber
 	for _, sub := range c.subscribers {
-		if !sub.ConfigDue && sub.AwaitsConfig() {
+		switch {
+		case sub.ConfigDue:
+		case sub.AwaitsConfig():
 			sub.ConfigDue, sub.ConfigConfirmedAt = true, confirmedAt
 			c.metrics.deferredConfigs.Inc()
+		default:
+			recipients = append(recipients, sub)
 		}
 	}
+	c.sendConfig(recipients)
 }
 
 // sendDueConfigs sends the newest configuration to the subscribers that it is due for and that have received the older one.
@@ -31,29 +37,17 @@
 			recipients = append(recipients, sub)
 		}
 	}
-	if len(recipients) > 0 {
-		c.sendUpdate(c.registry.Export(registry.Configs), recipients)
-	}
+	c.sendConfig(recipients)
 }
 
-// broadcastUpdate sends an update to all subscribers, except a configuration to those that it is due for.
-func (c *control) broadcastUpdate(update registry.Update) {
-	recipients := make([]*feed.Subscriber, 0, len(c.subscribers))
-	for _, sub := range c.subscribers {
-		if update.Kind != registry.Configs || !sub.ConfigDue {
-			recipients = append(recipients, sub)
-		}
-	}
-	if len(recipients) > 0 {
-		c.sendUpdate(update, recipients)
+// sendConfig sends the configuration to each recipient as changes to the version that it has.
+func (c *control) sendConfig(recipients []*feed.Subscriber) {
+	byVersion := map[uint64][]*feed.Subscriber{}
+	for _, sub := range recipients {
+		byVersion[sub.ConfigReceived()] = append(byVersion[sub.ConfigReceived()], sub)
+		sub.SetConfigSent(c.registry.ConfigVersion())
 	}
-}
-
-func (c *control) sendUpdate(update registry.Update, recipients []*feed.Subscriber) {
-	if update.Kind == registry.Configs {
-		for _, sub := range recipients {
-			sub.SetConfigSent(update.AsOf)
-		}
+	for version, subscribers := range byVersion {
+		c.send(feed.Message{Updates: []registry.Update{c.registry.ExportConfig(version)}}, subscribers...)
 	}
-	c.send(feed.Message{Updates: []registry.Update{update}}, recipients...)
 }
--- a/internal/forwarder/configs_test.go
+++ b/internal/forwarder/configs_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mangoweir/mangoweir/core/registry"
 	"github.com/mangoweir/mangoweir/internal/feed/feedpb"
@@ -58,7 +59,7 @@
 		for _, u := range m.Updates {
 			received++
 			last = u.Records[0].Config.Version
-			acknowledgement := &feedpb.Subscribe{AsOf: []uint64{0, u.AsOf, 0}, Acknowledges: true}
+			acknowledgement := &feedpb.Subscribe{Acknowledges: true, ConfigVersion: last}
 			if _, err := protodelim.MarshalTo(conn, acknowledgement); err != nil {
 				t.Fatal(err)
 			}
@@ -76,3 +77,40 @@
 		t.Errorf("the heartbeat before the newest version gives the older one an age of %s, want %s or more", age, wait)
 	}
 }
+
+// Guards against a small link that is busy with versions of a large configuration which differ in a route or two: probes of
+// targets took so long behind them that living targets counted as silent (day small-reader, FLOW).
+func TestSubscribersGetChangesOfConfigurations(t *testing.T) {
+	c, server, conn := testSubscription(t)
+	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	subscriber := bufio.NewReader(conn)
+	next := func() (update *feedpb.Update, bytes int) {
+		t.Helper()
+		for {
+			var m feedpb.Message
+			if err := protodelim.UnmarshalFrom(subscriber, &m); err != nil {
+				t.Fatal(err)
+			}
+			if len(m.Updates) > 0 {
+				return m.Updates[0], proto.Size(&m)
+			}
+		}
+	}
+	c.handleUpdate(configUpdate(1), c.shared.clock.now(), false)
+	if first, _ := next(); first.Records[0].Config.Base != 0 {
+		t.Errorf("the first configuration is sent as changes to version %d", first.Records[0].Config.Base)
+	}
+	if _, err := protodelim.MarshalTo(conn, &feedpb.Subscribe{Acknowledges: true, ConfigVersion: 1}); err != nil {
+		t.Fatal(err)
+	}
+	<-server.Acknowledged()
+	update := configUpdate(2)
+	update.Records[0].Config.Routes[7].Priority = 3
+	c.handleUpdate(update, c.shared.clock.now(), false)
+	second, bytes := next()
+	if config := second.Records[0].Config; config.Base != 1 || len(config.Routes) != 1 || bytes > 1000 {
+		t.Errorf("version 2 is sent as changes to version %d with %d routes in %d bytes, want one route", config.Base, len(config.Routes), bytes)
+	}
+}
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -261,9 +261,10 @@
 	// it endlessly.
 	if update.AsOf > previous && (len(update.Records) > 0 || update.Full) {
 		if update.Kind == registry.Configs {
-			c.deferConfigs(confirmedAt)
+			c.broadcastConfig(confirmedAt)
+			return
 		}
-		c.broadcastUpdate(*update)
+		c.broadcast(feed.Message{Updates: []registry.Update{*update}})
 	}
 }
 
@@ -309,11 +310,13 @@
 		ReturnedZones: c.registry.ReturnedZones(now),
 	}
 	for kind := range registry.Kind(registry.NumKinds) {
-		if asOf := c.registry.AsOf(kind); asOf > sub.AsOf[kind] {
+		switch asOf := c.registry.AsOf(kind); {
+		case asOf <= sub.AsOf[kind]:
+		case kind == registry.Configs:
+			sub.SetConfigSent(c.registry.ConfigVersion())
+			message.Updates = append(message.Updates, c.registry.ExportConfig(sub.ConfigReceived()))
+		default:
 			message.Updates = append(message.Updates, c.registry.Export(kind))
-			if kind == registry.Configs {
-				sub.SetConfigSent(asOf)
-			}
 		}
 	}
 	c.subscribers = append(c.subscribers, sub)
