--- a/internal/forwarder/configs_test.go
+++ b/internal/forwarder/configs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -114,3 +115,34 @@
 		t.Errorf("version 2 is sent as changes to version %d with %d routes in %d bytes, want one route", config.Base, len(config.Routes), bytes)
 	}
 }
+
+// Guards against VMs of an earlier version that get no configuration during an update of the deployment: they do not
+// acknowledge configurations, and cannot apply changes to one.
+func TestEarlierVersionsGetWholeConfigurations(t *testing.T) {
+	c, server, _ := testSubscription(t)
+	conn, err := net.Dial("tcp", server.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := protodelim.MarshalTo(conn, &feedpb.Subscribe{Vm: "vm-3", Zone: "zone-a", Vms: 1}); err != nil {
+		t.Fatal(err)
+	}
+	c.addSubscriber(<-server.Subscriptions())
+	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	subscriber := bufio.NewReader(conn)
+	for version := uint64(1); version <= 3; version++ {
+		c.handleUpdate(configUpdate(version), c.shared.clock.now(), false)
+		var m feedpb.Message
+		for len(m.Updates) == 0 {
+			if err := protodelim.UnmarshalFrom(subscriber, &m); err != nil {
+				t.Fatalf("version %d: %v", version, err)
+			}
+		}
+		if config := m.Updates[0].Records[0].Config; config.Version != version || config.Base != 0 {
+			t.Errorf("got version %d as changes to version %d, want version %d whole", config.Version, config.Base, version)
+		}
+	}
+}
