forwarder: show the history of the store in logs and metrics

The log did not tell a late response of the store from a response after the store's return from an earlier copy: both were 'ignored older update'.

VMs now read the header Store-Era of responses. A change of it by kind is one log line with the revisions before and after, each line about a change has the era, and mangoweir_store_era and mangoweir_store_era_age_seconds show it by kind. Nothing is decided by it yet.

--- a/core/registry/update.go
+++ b/core/registry/update.go
@@ -36,7 +36,9 @@
 	// Full is true when Records are all objects of the kind, false when they are only the changed ones.
 	Full bool
 	// AsOf is the store's revision after the update.
-	AsOf    uint64
+	AsOf uint64
+	// Era is the number of the store's history that the update belongs to; 0 when it is not known.
+	Era     uint64
 	Records []Record
 	// Nameless is the number of objects that were left out because not even their name could be read.
 	Nameless int
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -234,6 +234,18 @@
 	c.feedConfirmedAt[kind] = max(c.feedConfirmedAt[kind], at)
 }
 
+// recordHistory records the history of the store that an update belongs to.
+func (c *control) recordHistory(update *registry.Update) {
+	known := &c.shared.histories[update.Kind]
+	if update.Era == 0 || update.Era == known.era.Load() {
+		return
+	}
+	c.log.Warn("the history of the store is another one", "kind", update.Kind.String(), "era", update.Era, "era_before", known.era.Load(),
+		"as_of", update.AsOf, "as_of_before", c.registry.AsOf(update.Kind), "full", update.Full, "role", string(c.state.Role), "peer", c.state.Peer)
+	known.era.Store(update.Era)
+	known.since.Store(int64(c.shared.clock.now()))
+}
+
 // handleUpdate applies an update, sends it to the subscribers and logs what it changed. refreshed is true when this VM has
 // read it because no source of updates confirmed it.
 func (c *control) handleUpdate(update *registry.Update, at time.Duration, refreshed bool) {
@@ -241,6 +253,7 @@
 	if !refreshed {
 		c.confirmFeed(update.Kind, at)
 	}
+	c.recordHistory(update)
 	changes := c.registry.Apply(*update, at)
 	c.metrics.updates[update.Kind].Inc()
 	c.metrics.changes[update.Kind].Add(len(changes))
@@ -251,7 +264,7 @@
 			break
 		}
 		c.log.Info(ch.Event, "kind", update.Kind.String(), "name", ch.Name, "revision", ch.Revision,
-			"as_of", update.AsOf, "age_ms", age.Milliseconds(), "detail", ch.Detail,
+			"as_of", update.AsOf, "age_ms", age.Milliseconds(), "detail", ch.Detail, "era", c.shared.histories[update.Kind].era.Load(),
 			"config", c.registry.ConfigVersion(), "role", string(c.state.Role), "peer", c.state.Peer)
 	}
 	if update.Nameless > 0 {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -105,6 +105,13 @@
 			return (shared.clock.now() - cmp.Or(time.Duration(shared.confirmedAt[k].Load()), clockStart)).Seconds()
 		})
 	}
+	for k := range registry.Kind(registry.NumKinds) {
+		set.NewGauge(fmt.Sprintf("mangoweir_store_era{kind=%q}", k), func() float64 { return float64(shared.histories[k].era.Load()) })
+		set.NewGauge(fmt.Sprintf("mangoweir_store_era_age_seconds{kind=%q}", k), func() float64 {
+			// Before the first response, this is the time since the start.
+			return (shared.clock.now() - cmp.Or(time.Duration(shared.histories[k].since.Load()), clockStart)).Seconds()
+		})
+	}
 	for _, role := range []feed.Role{feed.Starting, feed.Reading, feed.Subscribed, feed.Borrowing, feed.Searching} {
 		set.NewGauge(fmt.Sprintf("mangoweir_source_role{role=%q}", string(role)), func() float64 {
 			if current := shared.role.Load(); current != nil && *current == role {
--- a/internal/forwarder/shared.go
+++ b/internal/forwarder/shared.go
@@ -20,6 +20,8 @@
 	freshSince atomic.Int64
 	// confirmedAt are the times at which the store last confirmed each kind of object; 0 before the first time.
 	confirmedAt [registry.NumKinds]atomic.Int64
+	// histories are the histories of the store from which this VM has each kind.
+	histories [registry.NumKinds]storeHistory
 	// role is the way in which the VM receives the changes of the store.
 	role atomic.Pointer[feed.Role]
 	// stopping is true from SIGTERM on, isolated while neither the store nor another VM can be reached, and
@@ -33,6 +35,13 @@
 	lastPacket atomic.Int64
 }
 
+// storeHistory is a history of the store, between two returns from an earlier copy.
+type storeHistory struct {
+	// era is the number of the history, 0 when it is not known. since is the time on the clock at which this VM learned of it.
+	era   atomic.Uint64
+	since atomic.Int64
+}
+
 func newSharedState() *sharedState {
 	return &sharedState{clock: newClock(), complete: make(chan struct{})}
 }
