--- a/internal/standin/objects/doc.go
+++ b/internal/standin/objects/doc.go
@@ -3,5 +3,5 @@
 // and a history of changes that may be dropped.
 //
 // Faults are set for one VM (by the address that its calls come from) or for all: refused calls, calls without
-// a response, slow responses, lost responses. Entries of targets expire when they are not renewed.
+// a response, slow responses, lost responses. The store may be restored from an earlier copy of itself. Entries of targets expire when they are not renewed.
 package objects
--- a/internal/standin/objects/serve.go
+++ b/internal/standin/objects/serve.go
@@ -18,6 +18,8 @@
 	// maxWait is the maximum time that a watch waits.
 	maxWait     = 30 * time.Second
 	objectsPath = "/v1/objects/"
+	// eraHeader is the number of the store's history, in all responses.
+	eraHeader = "Store-Era"
 )
 
 // Refusal is the way in which the store refuses calls.
@@ -87,6 +89,7 @@
 	}
 	s.mu.Lock()
 	s.calls[call]++
+	setEra(w, s.era)
 	s.mu.Unlock()
 	faults := s.faultsFor(r)
 	if faults.refuse(w, r) {
@@ -97,10 +100,15 @@
 	case r.Method == http.MethodGet && query.Has("watch"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet && name == "":
-		items, more, asOf := s.page(kind, query.Get("after"), pageSize)
+		items, more, asOf, era := s.page(kind, query.Get("after"), pageSize)
+		setEra(w, era)
 		respond(w, http.StatusOK, map[string]any{"items": orEmpty(items), "hasMore": more, "asOf": asOf})
 	case r.Method == http.MethodGet:
-		if o, ok := s.Get(kind, name); ok {
+		s.mu.Lock()
+		o, ok := s.kinds[kind][name]
+		setEra(w, s.era)
+		s.mu.Unlock()
+		if ok {
 			respond(w, http.StatusOK, o)
 			return
 		}
@@ -157,7 +165,8 @@
 		if f.refuse(w, r) {
 			return
 		}
-		events, asOf, next, ok := s.changesSince(kind, after)
+		events, asOf, era, next, ok := s.changesSince(kind, after)
+		setEra(w, era)
 		switch {
 		case f.HoldWatches:
 		case !ok:
@@ -202,6 +211,7 @@
 		old.Meta.Name, old.Spec = name, object.Spec
 		old = s.put(kind, old)
 	}
+	setEra(w, s.era)
 	s.mu.Unlock()
 	if status == http.StatusOK && rand.Float64() < faults.LostResponses {
 		<-r.Context().Done()
@@ -210,6 +220,11 @@
 	respond(w, status, old)
 }
 
+// setEra sets the number of the history that a response belongs to.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(eraHeader, strconv.FormatUint(era, 10))
+}
+
 func respond(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -35,8 +35,10 @@
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
-	kinds    map[string]map[string]Object
-	history  []Event
+	// era is the number of the history. It rises by one with each Restore.
+	era     uint64
+	kinds   map[string]map[string]Object
+	history []Event
 	// droppedRevision is the revision up to which the history has been dropped.
 	droppedRevision uint64
 	// changed is closed and replaced at each change of an object or of the faults.
@@ -54,7 +56,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		revision: 1, kinds: map[string]map[string]Object{}, changed: make(chan struct{}),
+		revision: 1, era: 1, kinds: map[string]map[string]Object{}, changed: make(chan struct{}),
 		expiries: map[string]time.Time{}, vmFaults: map[string]Faults{}, calls: map[string]int{},
 	}
 }
@@ -117,6 +119,49 @@
 	s.notifyWatches()
 }
 
+// Copy is a copy of a Store's objects and history.
+type Copy struct {
+	takenAt                   time.Time
+	revision, droppedRevision uint64
+	kinds                     map[string]map[string]Object
+	history                   []Event
+	expiries                  map[string]time.Time
+}
+
+// Copy returns a copy of the objects and of the history.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Copy{
+		takenAt: time.Now(), revision: s.revision, droppedRevision: s.droppedRevision, kinds: cloneKinds(s.kinds),
+		history: slices.Clone(s.history), expiries: maps.Clone(s.expiries),
+	}
+	return c
+}
+
+// Restore replaces the objects and the history by those of a copy. What was written since the copy is lost, and its
+// revisions are given out again, in a history with the next number. Entries of targets have the rest of their time to
+// expiry that they had when the copy was taken.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.droppedRevision, s.kinds, s.history = c.revision, c.droppedRevision, cloneKinds(c.kinds), slices.Clone(c.history)
+	s.expiries = map[string]time.Time{}
+	for name, until := range c.expiries {
+		s.expiries[name] = until.Add(time.Since(c.takenAt))
+	}
+	s.notifyWatches()
+}
+
+func cloneKinds(kinds map[string]map[string]Object) map[string]map[string]Object {
+	clone := make(map[string]map[string]Object, len(kinds))
+	for kind, named := range kinds {
+		clone[kind] = maps.Clone(named)
+	}
+	return clone
+}
+
 // Get returns an object; ok is false when there is none.
 func (s *Store) Get(kind, name string) (Object, bool) {
 	s.mu.Lock()
@@ -168,7 +213,7 @@
 
 // page returns up to size objects of a kind after a name, in the order of their names, and whether there are
 // more.
-func (s *Store) page(kind, after string, size int) (items []Object, more bool, asOf uint64) {
+func (s *Store) page(kind, after string, size int) (items []Object, more bool, asOf, era uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(s.kinds[kind])) {
@@ -176,25 +221,25 @@
 			continue
 		}
 		if len(items) == size {
-			return items, true, s.revision
+			return items, true, s.revision, s.era
 		}
 		items = append(items, s.kinds[kind][name])
 	}
-	return items, false, s.revision
+	return items, false, s.revision, s.era
 }
 
-// changesSince returns the changes of a kind after a revision, and a channel that is closed at the next
+// changesSince returns the changes of a kind after a revision, the present revision and era, and a channel that is closed at the next
 // change. ok is false when the history after that revision has been dropped, or the revision is a future one.
-func (s *Store) changesSince(kind string, revision uint64) (events []Event, asOf uint64, next <-chan struct{}, ok bool) {
+func (s *Store) changesSince(kind string, revision uint64) (events []Event, asOf, era uint64, next <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if revision < s.droppedRevision || revision > s.revision {
-		return nil, 0, nil, false
+		return nil, 0, s.era, nil, false
 	}
 	for _, e := range s.history {
 		if e.kind == kind && e.Object.Meta.Revision > revision {
 			events = append(events, e)
 		}
 	}
-	return events, s.revision, s.changed, true
+	return events, s.revision, s.era, s.changed, true
 }
