--- a/core/registry/bench_test.go
+++ b/core/registry/bench_test.go
@@ -14,7 +14,7 @@
 // benchRegistry returns a Registry with n targets in 25 zones, and a service and route for every 3.
 func benchRegistry(n int) *Registry {
 	r := New(zoneA, testLimits)
-	update := Update{Kind: Targets, Full: true, AsOf: 10}
+	update := Update{Kind: Targets, Full: true, AsOf: rev(10)}
 	config := &Config{Version: 1}
 	for i := range n {
 		service := fmt.Sprintf("service-%d", i/3)
@@ -30,7 +30,7 @@
 		}
 	}
 	r.Apply(update, 0)
-	r.Apply(full(Configs, 10, Record{Name: ConfigName, Revision: 5, Config: config}), 0)
+	r.Apply(full(Configs, 10, Record{Name: ConfigName, Revision: rev(5), Config: config}), 0)
 	r.Apply(full(ZonesOut, 10), 0)
 	return r
 }
--- a/core/registry/export.go
+++ b/core/registry/export.go
@@ -34,6 +34,12 @@
 			update.Records = append(update.Records, Record{Name: string(zone), Revision: revision})
 		}
 	}
+	// A VM without earlier knowledge takes over what the store has now.
+	for key, h := range r.held {
+		if key.kind == kind && !h.record.Removed {
+			update.Records = append(update.Records, h.record)
+		}
+	}
 	return update
 }
 
--- a/core/registry/helpers_test.go
+++ b/core/registry/helpers_test.go
@@ -25,7 +25,7 @@
 	if _, err := fmt.Sscanf(id, "i-%x", &n); err != nil {
 		panic(err)
 	}
-	return Record{Name: id, Revision: revision, Target: &Target{
+	return Record{Name: id, Revision: rev(revision), Target: &Target{
 		NumericID: n, StartMillis: 1000, Service: "desk", Zone: zoneA, Slots: 4,
 		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, 0, byte(n)}), 8080),
 	}}
@@ -44,19 +44,19 @@
 	for _, addr := range routes {
 		c.Routes = append(c.Routes, Route{Name: addr.String(), Addr: addr, Backends: []Backend{{Service: "desk", Weight: 1}}})
 	}
-	return Record{Name: ConfigName, Revision: revision, Config: c}
+	return Record{Name: ConfigName, Revision: rev(revision), Config: c}
 }
 
 func full(kind Kind, asOf uint64, records ...Record) Update {
-	return Update{Kind: kind, Full: true, AsOf: asOf, Records: records}
+	return Update{Kind: kind, Full: true, AsOf: rev(asOf), Records: records}
 }
 
 func changed(kind Kind, asOf uint64, records ...Record) Update {
-	return Update{Kind: kind, AsOf: asOf, Records: records}
+	return Update{Kind: kind, AsOf: rev(asOf), Records: records}
 }
 
 func removed(name string, revision uint64) Record {
-	return Record{Name: name, Revision: revision, Removed: true}
+	return Record{Name: name, Revision: rev(revision), Removed: true}
 }
 
 // testRegistry returns a Registry of zoneA that has read all kinds as of revision 10.
@@ -90,3 +90,6 @@
 	}
 	return e
 }
+
+// rev returns a revision of a store that numbers no histories.
+func rev(number uint64) Revision { return Revision{Number: number} }
--- a/core/registry/observation.go
+++ b/core/registry/observation.go
@@ -57,8 +57,9 @@
 	}
 	inc.observed, inc.exited, inc.observedAt, r.changed = true, observation.Ended, at, true
 	inc.lostFrom = at
-	if r.FreshUntil() < at {
-		// The target may have drained after the snapshot became stale.
+	if r.FreshUntil() < at || r.restoredAt > 0 && at < r.restoredAt+rewriteTime {
+		// The target may have drained after the snapshot became stale, or its notice of the drain was lost with the store's
+		// history and is not written again yet.
 		inc.lostFrom += forward.DrainExitDelay
 	}
 	return true
--- a/core/registry/property_test.go
+++ b/core/registry/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -33,6 +34,10 @@
 	silentTime = 2300 * time.Millisecond
 	// step is the time between two actions.
 	step = 100 * time.Millisecond
+	// maxCopyAge is the maximum age of the copy that the store is restored from.
+	maxCopyAge = 9 * time.Second
+	// operatorRewriteTime is the maximum time until operators write again what a restored store has lost.
+	operatorRewriteTime = time.Second
 )
 
 // cluster is a store, targets, VMs and flows in virtual time. It checks the platform's rules at every
@@ -41,11 +46,19 @@
 	t   *rapid.T
 	now time.Duration
 
+	// era is the number of the store's history.
+	era      uint64
 	revision uint64
 	objects  [registry.NumKinds]map[string]registry.Record
 	changes  []change
 	// compacted is the revision up to which the store no longer has the changes.
 	compacted uint64
+	// copies are copies of the store, one each step. rewriteAt is when operators write again what the store has lost, 0 when
+	// nothing is lost.
+	copies    []storeCopy
+	rewriteAt time.Duration
+	// starts is the number of starts of targets.
+	starts int64
 
 	zones    []core.ZoneName
 	targets  []*target
@@ -58,6 +71,12 @@
 	nextFlow int
 }
 
+type storeCopy struct {
+	revision, compacted uint64
+	objects             [registry.NumKinds]map[string]registry.Record
+	changes             []change
+}
+
 type change struct {
 	kind registry.Kind
 	rec  registry.Record
@@ -104,7 +123,7 @@
 
 func newCluster(t *rapid.T) *cluster {
 	c := &cluster{
-		t: t, now: time.Minute, zones: []core.ZoneName{"zone-a", "zone-b"},
+		t: t, now: time.Minute, era: 1, zones: []core.ZoneName{"zone-a", "zone-b"},
 		routes: map[netip.AddrPort]time.Duration{}, zoneOut: map[core.ZoneName]time.Duration{},
 	}
 	for kind := range c.objects {
@@ -121,10 +140,72 @@
 	return c
 }
 
+// asOf returns the store's present revision.
+func (c *cluster) asOf() registry.Revision { return registry.Revision{Era: c.era, Number: c.revision} }
+
+// keepCopy keeps a copy of the store.
+func (c *cluster) keepCopy() {
+	kept := storeCopy{revision: c.revision, compacted: c.compacted, changes: slices.Clone(c.changes)}
+	for kind := range c.objects {
+		kept.objects[kind] = maps.Clone(c.objects[kind])
+	}
+	if len(c.copies) >= int(maxCopyAge/step) {
+		c.copies = c.copies[1:]
+	}
+	c.copies = append(c.copies, kept)
+}
+
+// restore replaces the store by an earlier copy of itself. Operators and targets write again what it has lost, and the entries
+// of targets that have ended expire once more.
+func (c *cluster) restore() {
+	if len(c.copies) == 0 {
+		return
+	}
+	i := c.pick("copy", len(c.copies))
+	earlier := c.copies[i]
+	c.copies = c.copies[:i]
+	c.era++
+	c.revision, c.compacted, c.objects = earlier.revision, earlier.compacted, earlier.objects
+	c.changes = earlier.changes
+	for kind := range c.objects {
+		c.objects[kind] = maps.Clone(c.objects[kind])
+		for name, rec := range c.objects[kind] {
+			rec.Revision.Era = c.era
+			c.objects[kind][name] = rec
+		}
+	}
+	c.rewriteAt = c.now + time.Duration(c.pick("rewrite", int(operatorRewriteTime)))
+	for _, t := range c.targets {
+		switch _, listed := c.objects[registry.Targets][t.id]; {
+		case t.running:
+			t.renewAt, t.expired = c.now+time.Duration(c.pick("heartbeat", int(heartbeat))), true
+		case listed:
+			t.crashedAt = c.now
+		}
+	}
+	for _, v := range c.vms {
+		v.contactSince = c.now
+	}
+}
+
+// rewrite writes again what operators wrote and the store has lost.
+func (c *cluster) rewrite() {
+	c.rewriteAt = 0
+	if rec, ok := c.objects[registry.Configs][registry.ConfigName]; !ok || rec.Config.Version != c.version {
+		c.writeVersion()
+	}
+	for _, zone := range c.zones {
+		_, out := c.zoneOut[zone]
+		if _, listed := c.objects[registry.ZonesOut][string(zone)]; out != listed {
+			c.write(registry.ZonesOut, registry.Record{Name: string(zone), Removed: !out})
+		}
+	}
+}
+
 // write changes an object of the store.
 func (c *cluster) write(kind registry.Kind, rec registry.Record) {
 	c.revision++
-	rec.Revision = c.revision
+	rec.Revision = c.asOf()
 	if rec.Removed {
 		delete(c.objects[kind], rec.Name)
 	} else {
@@ -135,6 +216,11 @@
 
 func (c *cluster) writeConfig() {
 	c.version += uint64(c.pick("version step", 3) + 1)
+	c.writeVersion()
+}
+
+// writeVersion writes the present version of the configuration.
+func (c *cluster) writeVersion() {
 	config := &registry.Config{Version: c.version, Services: []registry.Service{
 		{Name: "desk", ColdStart: coldStart, ColdPerSecond: 2},
 	}}
@@ -186,7 +272,8 @@
 	if cold {
 		t.turnCold(c.now)
 	}
-	c.publish(t, func(rt *registry.Target) { rt.StartMillis, rt.Draining = int64(c.revision)+1, false })
+	c.starts++
+	c.publish(t, func(rt *registry.Target) { rt.StartMillis, rt.Draining = c.starts, false })
 }
 
 func (t *target) turnCold(now time.Duration) {
@@ -220,17 +307,18 @@
 		return
 	}
 	for kind := range registry.Kind(registry.NumKinds) {
-		update := registry.Update{Kind: kind, AsOf: c.revision}
+		update := registry.Update{Kind: kind, AsOf: c.asOf()}
 		after := v.registry.AsOf(kind)
-		if list || after < c.compacted || after == 0 {
+		if list || after.Era != c.era || after.Number < c.compacted {
 			update.Full = true
 			for _, rec := range c.objects[kind] {
 				update.Records = append(update.Records, rec)
 			}
 		} else {
 			for _, change := range c.changes {
-				if change.kind == kind && change.rec.Revision > after {
-					update.Records = append(update.Records, change.rec)
+				if rec := change.rec; change.kind == kind && rec.Revision.Number > after.Number {
+					rec.Revision.Era = c.era
+					update.Records = append(update.Records, rec)
 				}
 			}
 		}
@@ -243,7 +331,7 @@
 // relay applies one VM's objects to another VM, as a change feed does, however old they are.
 func (c *cluster) relay(from, to *vm) {
 	for kind := range registry.Kind(registry.NumKinds) {
-		if from.registry.AsOf(kind) > 0 {
+		if !from.registry.AsOf(kind).IsZero() {
 			to.registry.Apply(from.registry.Export(kind), from.registry.ConfirmedAt(kind))
 		}
 	}
@@ -252,6 +340,7 @@
 
 // install installs a VM's newest snapshot in its Forwarder.
 func (c *cluster) install(v *vm) {
+	v.registry.ReleaseHeld(c.now)
 	if snapshot := v.registry.Snapshot(c.now); snapshot != nil {
 		if snapshot.ConfigVersion < v.version {
 			c.t.Fatalf("configuration version decreased from %d to %d", v.version, snapshot.ConfigVersion)
@@ -273,7 +362,11 @@
 
 // advance advances the time by a step.
 func (c *cluster) advance() {
+	c.keepCopy()
 	c.now += step
+	if c.rewriteAt > 0 && c.now >= c.rewriteAt {
+		c.rewrite()
+	}
 	for _, t := range c.targets {
 		switch {
 		case t.running && c.now >= t.renewAt && (t.expired || t.coldUntil > c.now-2*heartbeat):
@@ -473,8 +566,9 @@
 			"relay": func(*rapid.T) {
 				c.relay(c.vms[c.pick("from", len(c.vms))], c.vms[c.pick("to", len(c.vms))])
 			},
-			"list":    func(*rapid.T) { c.sync(c.vms[c.pick("vm", len(c.vms))], true) },
-			"compact": func(*rapid.T) { c.compacted = c.revision },
+			"list":              func(*rapid.T) { c.sync(c.vms[c.pick("vm", len(c.vms))], true) },
+			"compact":           func(*rapid.T) { c.compacted = c.revision },
+			"restore the store": func(*rapid.T) { c.restore() },
 		})
 	})
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -39,8 +40,12 @@
 	// confirmed is when the store last confirmed that a kind was up to date, asOf the store's revision of the
 	// kind. received is true once the kind was read.
 	confirmed [NumKinds]time.Duration
-	asOf      [NumKinds]uint64
+	asOf      [NumKinds]Revision
 	received  [NumKinds]bool
+	// restoredAt is when the targets were first read from the present history of a store that was restored, 0 if it was not.
+	restoredAt time.Duration
+	// held are records that take effect later, because they differ from what this VM knew before the store was restored.
+	held map[heldKey]heldRecord
 	// freshSince is the end of the last time in which the snapshot was stale.
 	freshSince time.Duration
 	// unreadable contains the ids of targets with an unreadable entry and when such an entry was last
@@ -49,7 +54,7 @@
 
 	config *Config
 	// configRevision is the revision of the object that holds the configuration.
-	configRevision uint64
+	configRevision Revision
 	// configs are the most recent configurations.
 	configs       ConfigHistory
 	droppedRoutes map[forward.Endpoint]struct{}
@@ -58,7 +63,7 @@
 	byAddress map[netip.AddrPort]*incarnation
 	// previous contains incarnations that were replaced, by token.
 	previous map[forward.Token]*incarnation
-	zonesOut map[core.ZoneName]uint64
+	zonesOut map[core.ZoneName]Revision
 	// returningZones contains the zones that were taken back into service a short time ago.
 	returningZones map[core.ZoneName]zoneReturn
 
@@ -74,7 +79,7 @@
 	id       string
 	target   Target
 	token    forward.Token
-	revision uint64
+	revision Revision
 	// coldUntil is the end of the cold start according to the target's entry.
 	coldUntil time.Duration
 	unusable  bool
@@ -101,7 +106,7 @@
 	at time.Duration
 	// revision is the store's revision at which the zone was taken back. Targets that were last read at an
 	// earlier revision count as cold, too.
-	revision uint64
+	revision Revision
 }
 
 // New returns an empty Registry of a VM in the given zone.
@@ -114,7 +119,8 @@
 		targets:        map[string]*incarnation{},
 		byAddress:      map[netip.AddrPort]*incarnation{},
 		previous:       map[forward.Token]*incarnation{},
-		zonesOut:       map[core.ZoneName]uint64{},
+		zonesOut:       map[core.ZoneName]Revision{},
+		held:           map[heldKey]heldRecord{},
 		returningZones: map[core.ZoneName]zoneReturn{},
 		changed:        true,
 		nextSnapshot:   never,
@@ -170,8 +176,8 @@
 // ConfirmedAt returns when the store last confirmed a kind.
 func (r *Registry) ConfirmedAt(k Kind) time.Duration { return r.confirmed[k] }
 
-// AsOf returns the store's revision of the last update of a kind; 0 before the kind was read.
-func (r *Registry) AsOf(k Kind) uint64 { return r.asOf[k] }
+// AsOf returns the store's revision of the last update of a kind; zero before the kind was read.
+func (r *Registry) AsOf(k Kind) Revision { return r.asOf[k] }
 
 // Complete reports whether every kind was read at least once and there is a configuration.
 func (r *Registry) Complete() bool {
@@ -192,28 +198,37 @@
 	Name string
 	// Event is what happened, such as "added" or "removed". It is the log message.
 	Event    string
-	Revision uint64
+	Revision Revision
 	// Detail is the cause of the change, or empty.
 	Detail string
 }
 
-// Apply applies an update that the store sent at the given time and returns the changes. An update older
-// than the last one of its kind changes nothing, and is returned as a change for the log.
+// Apply applies an update that the store sent at the given time and returns the changes. An update that does not follow the
+// last one of its kind is returned as a change for the log, and AsOf stays as it is. Only a newer configuration is taken from
+// it, as configurations have versions of their own.
 func (r *Registry) Apply(update Update, at time.Duration) []Change {
-	if r.received[update.Kind] && update.AsOf < r.asOf[update.Kind] {
-		return []Change{{Kind: update.Kind, Event: "ignored older update", Revision: update.AsOf}}
-	}
 	var changes []Change
-	for i := range update.Records {
-		changes = r.applyRecord(changes, update, &update.Records[i], at)
+	kind, known := update.Kind, r.asOf[update.Kind]
+	if r.received[kind] && !update.Follows(known) {
+		changes = append(changes, Change{Kind: kind, Event: "ignored older update", Revision: update.AsOf})
+		if kind == Configs {
+			changes = r.applyRecords(changes, update, false, at)
+		}
+		return changes
+	}
+	restored := r.received[kind] && update.AsOf.Era != known.Era
+	if restored || update.AsOf.Era > firstEra && !r.received[kind] {
+		// A VM that starts cannot know how long ago the store was restored.
+		r.beginHistory(kind, at)
 	}
+	changes = r.applyRecords(changes, update, restored, at)
 	if update.Full {
-		changes = r.removeMissing(changes, update, at)
+		changes = r.removeMissing(changes, update, restored, at)
 	}
 	freshUntil := r.FreshUntil()
-	r.received[update.Kind] = true
-	r.asOf[update.Kind] = update.AsOf
-	r.confirmed[update.Kind] = max(r.confirmed[update.Kind], at)
+	r.received[kind] = true
+	r.asOf[kind] = update.AsOf
+	r.confirmed[kind] = max(r.confirmed[kind], at)
 	r.updateFreshSince(freshUntil, at)
 	if len(changes) > 0 || len(r.returningZones) > 0 {
 		r.changed = true
@@ -221,23 +236,52 @@
 	return changes
 }
 
-func (r *Registry) applyRecord(changes []Change, update Update, rec *Record, at time.Duration) []Change {
-	switch update.Kind {
-	case Targets:
-		return r.applyTarget(changes, rec, at)
-	case Configs:
-		return r.applyConfig(changes, rec)
-	default:
-		return r.applyZone(changes, rec, update.AsOf, at)
+// applyRecords applies the records of an update. restored is true for the first list of another history of the store.
+func (r *Registry) applyRecords(changes []Change, update Update, restored bool, at time.Duration) []Change {
+	for i := range update.Records {
+		rec := &update.Records[i]
+		// Another VM sends what it has kept of an earlier history.
+		kept := update.Full && rec.Revision.Era < update.AsOf.Era
+		if !restored && !kept && !r.supersedes(update.Kind, rec) {
+			continue
+		}
+		switch update.Kind {
+		case Configs:
+			changes = r.applyConfig(changes, rec)
+		case Targets:
+			if restored && !kept {
+				changes = r.applyRestoredTarget(changes, rec, at)
+				continue
+			}
+			changes = r.applyTarget(changes, rec, at)
+			if inc := r.targets[rec.Name]; kept && inc != nil && inc.revision.Era < update.AsOf.Era {
+				changes = r.holdMissingTarget(changes, rec.Name, update.AsOf, at)
+			}
+		case ZonesOut:
+			if restored && !kept {
+				changes = r.applyRestoredZone(changes, rec, at)
+				continue
+			}
+			changes = r.applyZone(changes, rec, update.AsOf, at)
+			if revision, out := r.zonesOut[core.ZoneName(rec.Name)]; kept && out && revision.Era < update.AsOf.Era {
+				changes = r.holdMissingZone(changes, rec.Name, update.AsOf, at)
+			}
+		}
 	}
+	return changes
 }
 
-// removeMissing removes the objects that a full update does not contain.
-func (r *Registry) removeMissing(changes []Change, update Update, at time.Duration) []Change {
+// removeMissing removes the objects that a full update does not contain, or holds that back if the update is the first one of
+// another history of the store.
+func (r *Registry) removeMissing(changes []Change, update Update, restored bool, at time.Duration) []Change {
 	listed := make(map[string]struct{}, len(update.Records))
 	for i := range update.Records {
 		listed[update.Records[i].Name] = struct{}{}
 	}
+	isHeld := func(name string) bool {
+		_, ok := r.held[heldKey{update.Kind, name}]
+		return ok
+	}
 	switch update.Kind {
 	case Targets:
 		maps.DeleteFunc(r.unreadable, func(id string, _ time.Duration) bool {
@@ -245,15 +289,23 @@
 			return !ok
 		})
 		for id, inc := range r.targets {
-			if _, ok := listed[id]; !ok && !inc.removed {
+			switch _, ok := listed[id]; {
+			case ok:
+			case restored:
+				changes = r.holdMissingTarget(changes, id, update.AsOf, at)
+			case !inc.removed && !isHeld(id):
 				changes = r.applyTarget(changes, &Record{Name: id, Revision: update.AsOf, Removed: true}, at)
 			}
 		}
 	case ZonesOut:
 		for zone := range r.zonesOut {
-			if _, ok := listed[string(zone)]; !ok {
-				rec := &Record{Name: string(zone), Revision: update.AsOf, Removed: true}
-				changes = r.applyZone(changes, rec, update.AsOf, at)
+			name := string(zone)
+			switch _, ok := listed[name]; {
+			case ok:
+			case restored:
+				changes = r.holdMissingZone(changes, name, update.AsOf, at)
+			case !isHeld(name):
+				changes = r.applyZone(changes, &Record{Name: name, Revision: update.AsOf, Removed: true}, update.AsOf, at)
 			}
 		}
 	}
@@ -271,6 +323,14 @@
 		return append(changes, change)
 	}
 	if rec.Config.Version <= r.ConfigVersion() {
+		if r.configRevision.Era < rec.Revision.Era && rec.Config.Version < r.ConfigVersion() {
+			change.Event = "kept a configuration that is newer than that of the store"
+			change.Detail = fmt.Sprintf("the store has version %d: write the newest version again", rec.Config.Version)
+			changes = append(changes, change)
+		}
+		if r.configRevision.Before(rec.Revision) && rec.Config.Version == r.ConfigVersion() {
+			r.configRevision = rec.Revision
+		}
 		return changes
 	}
 	next := make(map[forward.Endpoint]struct{}, len(rec.Config.Routes))
@@ -294,12 +354,12 @@
 	return append(changes, change)
 }
 
-func (r *Registry) applyZone(changes []Change, rec *Record, asOf uint64, at time.Duration) []Change {
+func (r *Registry) applyZone(changes []Change, rec *Record, asOf Revision, at time.Duration) []Change {
 	zone := core.ZoneName(rec.Name)
 	revision, out := r.zonesOut[zone]
 	change := Change{Kind: ZonesOut, Name: rec.Name, Revision: rec.Revision}
 	switch {
-	case out && rec.Revision < revision:
+	case out && rec.Revision.Before(revision):
 		return changes
 	case rec.Removed && out:
 		delete(r.zonesOut, zone)
@@ -309,6 +369,9 @@
 		r.zonesOut[zone] = rec.Revision
 		delete(r.returningZones, zone)
 		change.Event = "zone taken out of service"
+	case out:
+		r.zonesOut[zone] = rec.Revision
+		return changes
 	default:
 		return changes
 	}
@@ -322,7 +385,7 @@
 	// Age is the time since the zone was taken back.
 	Age time.Duration
 	// Revision is the store's revision at which it was taken back.
-	Revision uint64
+	Revision Revision
 }
 
 // ReturnedZones returns the zones whose targets count as cold because the zone was taken back into service.
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -32,7 +32,7 @@
 			convey.So(r.ConfigVersion(), convey.ShouldEqual, 4)
 		})
 		convey.Convey("an unreadable configuration changes nothing and is reported", func() {
-			changes := r.Apply(changed(Configs, 30, Record{Name: ConfigName, Revision: 30, Unreadable: "odd"}), 0)
+			changes := r.Apply(changed(Configs, 30, Record{Name: ConfigName, Revision: rev(30), Unreadable: "odd"}), 0)
 			convey.So(changes[0].Event, convey.ShouldEqual, "unreadable")
 			convey.So(r.ConfigVersion(), convey.ShouldEqual, 4)
 		})
@@ -98,12 +98,12 @@
 			convey.So(c, convey.ShouldEqual, forward.Gone)
 		})
 		convey.Convey("a target whose entry becomes unreadable gets no new flows, keeps its own and does not affect others", func() {
-			r.Apply(changed(Targets, 11, Record{Name: "i-1", Revision: 11, Unreadable: "odd"}), 0)
+			r.Apply(changed(Targets, 11, Record{Name: "i-1", Revision: rev(11), Unreadable: "odd"}), 0)
 			snapshot := r.Snapshot(0)
 			convey.So(pools(snapshot)["local"], convey.ShouldResemble, []string{"i-2"})
 			c, _ := conditionOf(snapshot, "i-1", 1000)
 			convey.So(c, convey.ShouldEqual, forward.Unusable)
-			convey.So(r.Apply(changed(Targets, 12, Record{Name: "i-9", Revision: 12, Unreadable: "odd"}), 0)[0].Event,
+			convey.So(r.Apply(changed(Targets, 12, Record{Name: "i-9", Revision: rev(12), Unreadable: "odd"}), 0)[0].Event,
 				convey.ShouldEqual, "unreadable")
 		})
 	})
@@ -128,7 +128,7 @@
 func TestZonesOutAndBack(t *testing.T) {
 	convey.Convey("Given targets in two zones", t, func() {
 		r := testRegistry(targetRecord("i-1", 3), targetRecord("i-2", 4).with(func(t *Target) { t.Zone = zoneB }))
-		r.Apply(changed(ZonesOut, 11, Record{Name: string(zoneA), Revision: 11}), 0)
+		r.Apply(changed(ZonesOut, 11, Record{Name: string(zoneA), Revision: rev(11)}), 0)
 		convey.So(pools(r.Snapshot(0)), convey.ShouldResemble, map[string][]string{"remote": {"i-2"}})
 		convey.Convey("a zone that returns counts as cold until its targets have had time to renew their entries", func() {
 			r.Apply(changed(ZonesOut, 20, removed(string(zoneA), 20)), time.Second)
@@ -170,7 +170,7 @@
 				r.Confirm(kind, at)
 			}
 			convey.So(at, convey.ShouldBeGreaterThan, time.Second+r.zoneColdTime())
-			r.Apply(changed(ZonesOut, 30, Record{Name: string(zoneA), Revision: 30}), at)
+			r.Apply(changed(ZonesOut, 30, Record{Name: string(zoneA), Revision: rev(30)}), at)
 			r.Apply(changed(ZonesOut, 40, removed(string(zoneA), 40)), at)
 			r.Apply(changed(Targets, 40), at)
 			later := at + freshTime + time.Millisecond
@@ -195,12 +195,12 @@
 func TestReturnedZoneIsKnownAfterStart(t *testing.T) {
 	convey.Convey("Given a VM that has read that a zone was taken back", t, func() {
 		r := testRegistry(targetRecord("i-1", 3))
-		r.Apply(changed(ZonesOut, 11, Record{Name: string(zoneA), Revision: 11}), 0)
+		r.Apply(changed(ZonesOut, 11, Record{Name: string(zoneA), Revision: rev(11)}), 0)
 		r.Apply(changed(ZonesOut, 20, removed(string(zoneA), 20)), time.Second)
 		r.Apply(changed(Targets, 20), time.Second)
 		now := 1500 * time.Millisecond
 		returned := r.ReturnedZones(now)
-		convey.So(returned, convey.ShouldResemble, []ReturnedZone{{Zone: zoneA, Age: 500 * time.Millisecond, Revision: 20}})
+		convey.So(returned, convey.ShouldResemble, []ReturnedZone{{Zone: zoneA, Age: 500 * time.Millisecond, Revision: rev(20)}})
 		start := func() *Registry {
 			started := New(zoneA, testLimits)
 			for _, z := range returned {
@@ -219,7 +219,7 @@
 		})
 		convey.Convey("a VM that has read the zones out of service ignores what another one reports", func() {
 			started := start()
-			started.ApplyReturnedZone(ReturnedZone{Zone: zoneB, Revision: 20}, now)
+			started.ApplyReturnedZone(ReturnedZone{Zone: zoneB, Revision: rev(20)}, now)
 			convey.So(len(started.returningZones), convey.ShouldEqual, 1)
 		})
 	})
@@ -261,7 +261,7 @@
 	convey.Convey("A Registry that applies an export has the same snapshot", t, func() {
 		a := testRegistry(targetRecord("i-1", 3), targetRecord("i-2", 4).with(func(t *Target) { t.Draining = true }),
 			targetRecord("i-3", 5).with(func(t *Target) { t.ColdRemaining = time.Second }))
-		a.Apply(changed(ZonesOut, 12, Record{Name: string(zoneB), Revision: 12}), 0)
+		a.Apply(changed(ZonesOut, 12, Record{Name: string(zoneB), Revision: rev(12)}), 0)
 		b := New(zoneA, testLimits)
 		for kind := range Kind(NumKinds) {
 			b.Apply(a.Export(kind), a.ConfirmedAt(kind))
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -39,6 +39,9 @@
 		r.addTarget(snapshot, services, r.targets[id], now)
 	}
 	r.addAliases(snapshot)
+	for _, h := range r.held {
+		r.scheduleSnapshot(h.until)
+	}
 	return snapshot
 }
 
@@ -161,7 +164,7 @@
 	until := max(inc.coldUntil, r.observedColdUntil(inc))
 	if returned, ok := r.returningZones[inc.target.Zone]; ok {
 		switch {
-		case r.asOf[Targets] < returned.revision:
+		case r.asOf[Targets].Before(returned.revision):
 			// The targets were last read before the zone was taken back.
 			until = max(until, now+r.zoneColdTime())
 		case now < returned.at+r.zoneColdTime() && !r.entriesRenewed(returned):
--- a/core/registry/target.go
+++ b/core/registry/target.go
@@ -9,7 +9,7 @@
 func (r *Registry) applyTarget(changes []Change, rec *Record, at time.Duration) []Change {
 	inc := r.targets[rec.Name]
 	// A removal has either the revision of the object's last change or a new one.
-	if inc != nil && (rec.Revision < inc.revision || rec.Revision == inc.revision && !rec.Removed) {
+	if inc != nil && (rec.Revision.Before(inc.revision) || rec.Revision == inc.revision && !rec.Removed) {
 		return changes
 	}
 	change := Change{Kind: Targets, Name: rec.Name, Revision: rec.Revision}
--- a/core/registry/update.go
+++ b/core/registry/update.go
@@ -35,10 +35,9 @@
 	Kind Kind
 	// Full is true when Records are all objects of the kind, false when they are only the changed ones.
 	Full bool
-	// AsOf is the store's revision after the update.
-	AsOf uint64
-	// Era is the number of the store's history that the update belongs to; 0 when it is not known.
-	Era     uint64
+	// AsOf is the store's revision after the update. Records of a later history of the store than this one do not occur; those of an
+	// earlier one, in a full update of another VM, are not in the store and may be written again.
+	AsOf    Revision
 	Records []Record
 	// Nameless is the number of objects that were left out because not even their name could be read.
 	Nameless int
@@ -57,7 +56,7 @@
 type Record struct {
 	Name string
 	// Revision is the store's revision of the object's last change.
-	Revision uint64
+	Revision Revision
 	// Removed is true when the object no longer exists.
 	Removed bool
 	// Unreadable is the reason why the object cannot be decoded; empty for others.
--- a/internal/feed/encode.go
+++ b/internal/feed/encode.go
@@ -25,6 +25,8 @@
 	// Ages is the time since the store last confirmed each kind, UnknownAge for one that was never read.
 	// Updates are as of these times. It is nil in messages without data of the store.
 	Ages []time.Duration
+	// Eras are the numbers of the store's histories from which the sender has each kind; 0 when that is not known.
+	Eras [registry.NumKinds]uint64
 	// ZoneVMs is the number of VMs of the sender's zone, the sender included.
 	ZoneVMs int
 	// Observations are changes of targets that VMs detected without the store.
@@ -79,7 +81,7 @@
 func (m *Message) encode() *feedpb.Message {
 	pb := &feedpb.Message{
 		ZoneVms: uint32(m.ZoneVMs), Redirect: m.Redirect, StoreFailingMillis: uint32(m.StoreFailing.Milliseconds()),
-		SentMillis: uint64(m.SentAt.Milliseconds()),
+		SentMillis: uint64(m.SentAt.Milliseconds()), Eras: encodeEras(m.Eras),
 	}
 	for _, age := range m.Ages {
 		pb.AgeMillis = append(pb.AgeMillis, uint32(max(age, 0).Milliseconds()))
@@ -94,7 +96,8 @@
 	}
 	for _, z := range m.ReturnedZones {
 		pb.ReturnedZones = append(pb.ReturnedZones, &feedpb.ReturnedZone{
-			Zone: string(z.Zone), AgeMillis: uint32(max(z.Age, 0).Milliseconds()), Revision: z.Revision,
+			Zone: string(z.Zone), AgeMillis: uint32(max(z.Age, 0).Milliseconds()), Revision: z.Revision.Number,
+			Era: z.Revision.Era,
 		})
 	}
 	for i := range m.Updates {
@@ -140,8 +143,24 @@
 	return out
 }
 
+// encodeEras returns the eras, or nil if none is known.
+func encodeEras(eras [registry.NumKinds]uint64) []uint64 {
+	if eras == [registry.NumKinds]uint64{} {
+		return nil
+	}
+	return eras[:]
+}
+
+// decodeEras returns the eras, or zeros for a message without them.
+func decodeEras(eras []uint64) (out [registry.NumKinds]uint64) {
+	if len(eras) == registry.NumKinds {
+		copy(out[:], eras)
+	}
+	return out
+}
+
 func encodeUpdate(u *registry.Update) *feedpb.Update {
-	pb := &feedpb.Update{Kind: uint32(u.Kind), Full: u.Full, AsOf: u.AsOf}
+	pb := &feedpb.Update{Kind: uint32(u.Kind), Full: u.Full, AsOf: u.AsOf.Number, Era: u.AsOf.Era}
 	for i := range u.Records {
 		pb.Records = append(pb.Records, encodeRecord(&u.Records[i]))
 	}
@@ -149,7 +168,7 @@
 }
 
 func encodeRecord(r *registry.Record) *feedpb.Record {
-	pb := &feedpb.Record{Name: r.Name, Revision: r.Revision, Removed: r.Removed, Unreadable: r.Unreadable}
+	pb := &feedpb.Record{Name: r.Name, Revision: r.Revision.Number, Era: r.Revision.Era, Removed: r.Removed, Unreadable: r.Unreadable}
 	if t := r.Target; t != nil {
 		addr, _ := forward.NewEndpoint(t.Addr)
 		pb.Target = &feedpb.Target{
@@ -193,7 +212,7 @@
 func decodeMessage(pb *feedpb.Message) Message {
 	message := Message{
 		ZoneVMs: int(pb.ZoneVms), Redirect: pb.Redirect, StoreFailing: time.Duration(pb.StoreFailingMillis) * time.Millisecond,
-		SentAt: time.Duration(pb.SentMillis) * time.Millisecond,
+		SentAt: time.Duration(pb.SentMillis) * time.Millisecond, Eras: decodeEras(pb.Eras),
 	}
 	if len(pb.AgeMillis) == registry.NumKinds {
 		for _, age := range pb.AgeMillis {
@@ -210,14 +229,15 @@
 	}
 	for _, z := range pb.ReturnedZones {
 		message.ReturnedZones = append(message.ReturnedZones, registry.ReturnedZone{
-			Zone: core.ZoneName(z.Zone), Age: time.Duration(z.AgeMillis) * time.Millisecond, Revision: z.Revision,
+			Zone: core.ZoneName(z.Zone), Age: time.Duration(z.AgeMillis) * time.Millisecond,
+			Revision: registry.Revision{Era: z.Era, Number: z.Revision},
 		})
 	}
 	for _, u := range pb.Updates {
 		if u.Kind >= registry.NumKinds {
 			continue
 		}
-		update := registry.Update{Kind: registry.Kind(u.Kind), Full: u.Full, AsOf: u.AsOf}
+		update := registry.Update{Kind: registry.Kind(u.Kind), Full: u.Full, AsOf: registry.Revision{Era: u.Era, Number: u.AsOf}}
 		for _, r := range u.Records {
 			update.Records = append(update.Records, decodeRecord(r))
 		}
@@ -233,7 +253,9 @@
 }
 
 func decodeRecord(pb *feedpb.Record) registry.Record {
-	record := registry.Record{Name: pb.Name, Revision: pb.Revision, Removed: pb.Removed, Unreadable: pb.Unreadable}
+	record := registry.Record{
+		Name: pb.Name, Revision: registry.Revision{Era: pb.Era, Number: pb.Revision}, Removed: pb.Removed, Unreadable: pb.Unreadable,
+	}
 	if t := pb.Target; t != nil {
 		record.Target = &registry.Target{
 			NumericID: t.HostId, StartMillis: t.Born, Service: t.Service,
--- a/internal/feed/encode_test.go
+++ b/internal/feed/encode_test.go
@@ -18,14 +18,14 @@
 
 // testMessage returns a message with a value in each field, and with n targets and routes.
 func testMessage(n int) Message {
-	targets := registry.Update{Kind: registry.Targets, Full: true, AsOf: 900}
+	targets := registry.Update{Kind: registry.Targets, Full: true, AsOf: inEra(3, 900)}
 	config := &registry.Config{Version: 22, IdleTimeout: 15 * time.Second, Services: []registry.Service{
 		{Name: "huvo11a", ColdStart: 2 * time.Second, ColdPerSecond: 2.5},
 	}}
 	for i := range n {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(i >> 8), byte(i)}), 8080)
 		targets.Records = append(targets.Records, registry.Record{
-			Name: fmt.Sprintf("i-%08x", i), Revision: uint64(i + 1), Target: &registry.Target{
+			Name: fmt.Sprintf("i-%08x", i), Revision: inEra(3, uint64(i+1)), Target: &registry.Target{
 				NumericID: uint64(i), StartMillis: 1790000000123, Service: "huvo11a", Addr: addr, Zone: "sfax-medina", Slots: 4,
 				Draining: i%2 == 0, ColdRemaining: time.Duration(i%3) * time.Second,
 			},
@@ -38,12 +38,13 @@
 	return Message{
 		Updates: []registry.Update{
 			targets,
-			{Kind: registry.Configs, AsOf: 901, Records: []registry.Record{{Name: "main", Revision: 901, Config: config}}},
-			{Kind: registry.ZonesOut, AsOf: 902, Records: []registry.Record{{Name: "zone-a", Revision: 9, Removed: true}, {Name: "x", Unreadable: "odd"}}},
+			{Kind: registry.Configs, AsOf: inEra(3, 901), Records: []registry.Record{{Name: "main", Revision: inEra(3, 901), Config: config}}},
+			{Kind: registry.ZonesOut, AsOf: inEra(3, 902), Records: []registry.Record{{Name: "zone-a", Revision: inEra(3, 9), Removed: true}, {Name: "x", Unreadable: "odd"}}},
 		},
+		Eras:    [registry.NumKinds]uint64{3, 3, 2},
 		Ages:    []time.Duration{time.Millisecond, 2 * time.Millisecond, 0},
 		ZoneVMs: 23, Redirect: "10.1.0.10:8166", Members: &Members{Zone: "sfax-medina", VMs: []forward.VMID{1, 0xfedcba98}},
-		StoreFailing: 700 * time.Millisecond, ReturnedZones: []registry.ReturnedZone{{Zone: "zone-a", Age: 800 * time.Millisecond, Revision: 9}},
+		StoreFailing: 700 * time.Millisecond, ReturnedZones: []registry.ReturnedZone{{Zone: "zone-a", Age: 800 * time.Millisecond, Revision: inEra(3, 9)}},
 		Ejections:    []registry.Ejection{{ID: "i-00000001", Token: 0xfedcba98, Remaining: 1250 * time.Millisecond}},
 		Observations: []registry.Observation{{ID: "i-00000001", Token: 0xfedcba98, Ended: true, Age: 1250 * time.Millisecond}},
 	}
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -124,11 +124,14 @@
 func (s *Source) sendSubscribe(conn net.Conn) error {
 	s.mu.Lock()
 	m := &feedpb.Subscribe{
-		Vm: string(s.VM), Zone: string(s.Zone), Address: s.Address, AsOf: slices.Clone(s.asOf[:]),
+		Vm: string(s.VM), Zone: string(s.Zone), Address: s.Address,
 		Acknowledges: true, ConfigVersion: s.configs.Latest(),
 		Vms:     uint32(s.downstream.VMs + 1),
 		Members: encodeVMIDs(append([]forward.VMID{forward.NewVMID(s.VM)}, s.downstream.Members...)),
 	}
+	for _, asOf := range s.asOf {
+		m.AsOf, m.Eras = append(m.AsOf, asOf.Number), append(m.Eras, asOf.Era)
+	}
 	m.Failures = encodeFailures(s.failures)
 	s.downstreamReported, s.failures = true, nil
 	s.mu.Unlock()
@@ -170,7 +173,7 @@
 			}
 			base := s.configs.Get(record.Config.Base)
 			if base == nil {
-				s.asOf[registry.Configs], s.configs = 0, registry.ConfigHistory{}
+				s.asOf[registry.Configs], s.configs = registry.Revision{}, registry.ConfigHistory{}
 				return false
 			}
 			record.Config = record.Config.ApplyTo(base)
@@ -257,6 +260,7 @@
 			return end
 		}
 		s.sendSubscribeIfDue(subscription)
+		s.discardOtherHistories(&message)
 		fresh := message.Ages != nil && slices.Max(message.Ages) < storeLostAfter && message.StoreFailing < storeFailingAfter
 		if !end.fresh && (fresh || fromReader) {
 			role := Subscribed
@@ -286,12 +290,11 @@
 			return end
 		case servedSince == 0 && now-lastTry > storeRetryInterval:
 			lastTry = now
-			r, err := s.Store.Reader(ctx, s.Zone)
+			r, err := s.lookUpReader(ctx)
 			if err != nil {
 				s.Log.Info("the reader cannot reach the store, and neither can this VM", "error", err)
 				continue
 			}
-			s.recordResponse()
 			if r.VM != s.lastReader().VM {
 				end.lookUpReader = true
 				return end
@@ -303,11 +306,10 @@
 
 // storeServes reports whether the store serves this VM.
 func (s *Source) storeServes(ctx context.Context) bool {
-	if _, err := s.Store.Reader(ctx, s.Zone); err != nil {
+	if _, err := s.lookUpReader(ctx); err != nil {
 		s.Log.Info("the store does not serve this VM yet", "error", err)
 		return false
 	}
-	s.recordResponse()
 	return true
 }
 
--- a/internal/feed/follow_test.go
+++ b/internal/feed/follow_test.go
@@ -116,17 +116,17 @@
 func TestChangesToUnknownConfiguration(t *testing.T) {
 	config := &registry.Config{Version: 5, Base: 4}
 	server := feedOf(t, Message{Updates: []registry.Update{{
-		Kind: registry.Configs, AsOf: 9, Full: true, Records: []registry.Record{{Name: registry.ConfigName, Config: config}},
+		Kind: registry.Configs, AsOf: rev(9), Full: true, Records: []registry.Record{{Name: registry.ConfigName, Config: config}},
 	}}})
 	events := make(chan Event, 1000)
 	s := testSource(&countingStore{address: server.Addr()}, events)
-	s.advanceRevision(registry.Update{Kind: registry.Configs, AsOf: 8}, 0)
+	s.advanceRevision(registry.Update{Kind: registry.Configs, AsOf: rev(8)}, 0)
 	f := s.dial(t.Context(), server.Addr())
 	if f == nil {
 		t.Fatal("no connection")
 	}
 	end := s.receive(t.Context(), f, true)
-	if end.redirect != server.Addr() || s.knownRevision(registry.Configs) != 0 {
-		t.Errorf("end %+v at revision %d, want to subscribe again without a revision", end, s.knownRevision(registry.Configs))
+	if end.redirect != server.Addr() || !s.knownRevision(registry.Configs).IsZero() {
+		t.Errorf("end %+v at revision %s, want to subscribe again without a revision", end, s.knownRevision(registry.Configs))
 	}
 }
--- a/internal/feed/refresh.go
+++ b/internal/feed/refresh.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -64,7 +63,7 @@
 	// Kinds that this VM has never read are left to readAll.
 	next := refreshAfter
 	for kind := range registry.Kind(registry.NumKinds) {
-		if s.asOf[kind] > 0 {
+		if !s.asOf[kind].IsZero() {
 			next = min(next, s.confirmedAt[kind]+refreshAfter-s.Now())
 		}
 	}
@@ -77,7 +76,7 @@
 	defer s.mu.Unlock()
 	var kinds []registry.Kind
 	for kind := range registry.Kind(registry.NumKinds) {
-		if s.asOf[kind] > 0 && s.Now()-s.confirmedAt[kind] >= refreshAfter {
+		if !s.asOf[kind].IsZero() && s.Now()-s.confirmedAt[kind] >= refreshAfter {
 			kinds = append(kinds, kind)
 		}
 	}
@@ -92,13 +91,13 @@
 	after := s.knownRevision(kind)
 	update, err := s.Store.Watch(ctx, kind, after, immediateWatch)
 	switch {
-	case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrTooManyChanges):
+	case isListRequired(err):
+		s.recordEra(update.AsOf.Era)
 		return s.list(ctx, kind, true)
 	case err != nil:
 		return err
 	}
-	s.Log.Info("read a kind that no source of updates confirms", "kind", kind.String(), "after", after,
-		"as_of", update.AsOf, "changes", len(update.Records))
-	s.deliverUpdate(ctx, update, true)
-	return nil
+	s.Log.Info("read a kind that no source of updates confirms", "kind", kind.String(), "after", after.String(),
+		"as_of", update.AsOf.String(), "changes", len(update.Records))
+	return s.deliverUpdate(ctx, update, true)
 }
--- a/internal/feed/refresh_test.go
+++ b/internal/feed/refresh_test.go
@@ -31,26 +31,26 @@
 func (s *lostReadersStore) List(_ context.Context, kind registry.Kind) (registry.Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return registry.Update{Kind: kind, Full: true, AsOf: s.revision}, nil
+	return registry.Update{Kind: kind, Full: true, AsOf: rev(s.revision)}, nil
 }
 
-func (s *lostReadersStore) Watch(_ context.Context, kind registry.Kind, _ uint64, _ time.Duration) (registry.Update, error) {
+func (s *lostReadersStore) Watch(_ context.Context, kind registry.Kind, _ registry.Revision, _ time.Duration) (registry.Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return registry.Update{Kind: kind, AsOf: s.revision}, nil
+	return registry.Update{Kind: kind, AsOf: rev(s.revision)}, nil
 }
 
-func (s *lostReadersStore) Reader(context.Context, core.ZoneName) (Reader, error) {
+func (s *lostReadersStore) Reader(context.Context, core.ZoneName, bool) (Reader, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Reader{VM: core.VMName(fmt.Sprintf("vm-1%d", s.claims)), Address: s.address, Revision: 1}, nil
+	return Reader{VM: core.VMName(fmt.Sprintf("vm-1%d", s.claims)), Address: s.address, Revision: rev(1)}, nil
 }
 
 func (s *lostReadersStore) Claim(ctx context.Context, zone core.ZoneName, _ Reader) (Reader, error) {
 	s.mu.Lock()
 	s.claims++
 	s.mu.Unlock()
-	return s.Reader(ctx, zone)
+	return s.Reader(ctx, zone, true)
 }
 
 // Guards against changes that are not in force in time although the store serves the VM: its readers were lost one after
@@ -78,7 +78,7 @@
 				select {
 				case e := <-events:
 					if e.Update != nil {
-						received[e.Update.Kind] = max(received[e.Update.Kind], e.Update.AsOf)
+						received[e.Update.Kind] = max(received[e.Update.Kind], e.Update.AsOf.Number)
 					}
 				case <-timeout:
 					t.Fatalf("%s: revision %d %s after the change to %d", kind, received[kind], limit, revision)
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -135,8 +135,11 @@
 		acknowledges: first.Acknowledges,
 		queue:        make(chan []byte, queueLength), done: ctx.Done(), close: cancel,
 	}
-	if len(first.AsOf) == registry.NumKinds {
-		copy(sub.AsOf[:], first.AsOf)
+	eras := decodeEras(first.Eras)
+	for kind := range first.AsOf {
+		if len(first.AsOf) == registry.NumKinds {
+			sub.AsOf[kind] = registry.Revision{Era: eras[kind], Number: first.AsOf[kind]}
+		}
 	}
 	sub.record(&first)
 	go func() {
@@ -189,9 +192,9 @@
 	Address string
 	// StateOnly is true for a VM that wants one message with the whole state, and is not sent changes.
 	StateOnly bool
-	// AsOf is the store's revision up to which the VM had each kind when it subscribed; 0 for a kind that it
+	// AsOf is the store's revision up to which the VM had each kind when it subscribed; zero for a kind that it
 	// did not have.
-	AsOf [registry.NumKinds]uint64
+	AsOf [registry.NumKinds]registry.Revision
 
 	// ConfigDue is true while the newest configuration waits until the subscriber has received an older one.
 	// ConfigConfirmedAt is when the store last confirmed that one. Both belong to the control thread.
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -88,8 +87,10 @@
 	mu sync.Mutex
 	// reader is the zone's reader as last read from the store.
 	reader Reader
+	// era is the newest history of the store from which this VM has a response; 0 while none is known.
+	era uint64
 	// asOf is the revision up to which updates of each kind were delivered.
-	asOf [registry.NumKinds]uint64
+	asOf [registry.NumKinds]registry.Revision
 	// configs are the configurations that this VM has received, to which others send changes.
 	configs registry.ConfigHistory
 	// confirmedAt is when the store last confirmed each kind, to this VM or to the sender of an update.
@@ -146,6 +147,12 @@
 // errStopping reports that a VM does not claim the reader's role because it stops.
 const errStopping = errors.ConstError("the VM is stopping and does not claim the role: another VM of the zone will")
 
+// errEarlierHistory reports a response of the store that is late, from before its return from an earlier copy.
+const errEarlierHistory = errors.ConstError("the response is from an earlier history of the store: call again")
+
+// errOlderList reports a list that is older than what this VM has.
+const errOlderList = errors.ConstError("the list is older than the data of this VM: list again later")
+
 // maxQueuedFailures is the maximum number of targets with failures that wait to be reported.
 const maxQueuedFailures = 1000
 
@@ -192,7 +199,7 @@
 
 // runOnce looks up the zone's reader and subscribes to it, or becomes the reader.
 func (s *Source) runOnce(ctx context.Context) {
-	reader, err := s.Store.Reader(ctx, s.Zone)
+	reader, err := s.lookUpReader(ctx)
 	if err != nil {
 		s.Log.Warn("cannot look up the zone's reader", "error", err)
 		if !s.followAny(ctx) {
@@ -201,7 +208,6 @@
 		}
 		return
 	}
-	s.recordResponse()
 	s.followOrReplace(ctx, reader)
 }
 
@@ -237,32 +243,58 @@
 		if !sleep(ctx, delay+rand.N(claimJitter)) {
 			return Reader{}, ctx.Err()
 		}
-		r, err := s.Store.Reader(ctx, s.Zone)
+		r, err := s.lookUpReader(ctx)
 		if err != nil {
 			return Reader{}, err
 		}
-		s.recordResponse()
-		if r.VM != "" && (r.VM != lost.VM || r.Revision > lost.Revision) {
+		if r.VM != "" && (r.VM != lost.VM || lost.Revision.Before(r.Revision)) {
 			// Another VM, or the lost one after a restart, has claimed the role. A second reader of the zone would
 			// not receive what the first one observes.
 			return r, nil
 		}
-		lost.Revision = max(lost.Revision, r.Revision)
+		if lost.Revision.Before(r.Revision) {
+			lost.Revision = r.Revision
+		}
 	}
+	return s.claim(ctx, lost.Revision)
+}
+
+// claim makes this VM the zone's reader if the reader's object still has a revision, and returns the reader after the call.
+func (s *Source) claim(ctx context.Context, revision registry.Revision) (Reader, error) {
 	if s.stopping.Load() {
 		return Reader{}, errStopping
 	}
 	// After a claim without a response, the next read of the object shows whether the claim took effect.
-	r, err := s.Store.Claim(ctx, s.Zone, Reader{VM: s.VM, Address: s.Address, Incarnation: s.incarnation, Revision: lost.Revision})
-	if err == nil {
-		s.recordResponse()
+	r, err := s.Store.Claim(ctx, s.Zone, Reader{VM: s.VM, Address: s.Address, Incarnation: s.incarnation, Revision: revision})
+	if err != nil {
+		return Reader{}, err
+	}
+	s.recordResponse()
+	if !s.recordEra(r.Revision.Era) {
+		return Reader{}, errEarlierHistory
+	}
+	return r, nil
+}
+
+// lookUpReader returns the zone's reader as the newest history of the store that this VM knows has it.
+func (s *Source) lookUpReader(ctx context.Context) (Reader, error) {
+	r, err := s.Store.Reader(ctx, s.Zone, true)
+	if err == nil && !s.recordEra(r.Revision.Era) {
+		r, err = s.Store.Reader(ctx, s.Zone, false)
+	}
+	if err != nil {
+		return Reader{}, err
 	}
-	return r, err
+	if !s.recordEra(r.Revision.Era) {
+		return Reader{}, errEarlierHistory
+	}
+	s.recordResponse()
+	return r, nil
 }
 
 // runReader watches the store until another VM is the reader.
 func (s *Source) runReader(ctx context.Context) {
-	s.sendState(Reading, "", fmt.Sprintf("claimed at revision %d", s.lastReader().Revision))
+	s.sendState(Reading, "", "claimed at revision "+s.lastReader().Revision.String())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -291,7 +323,7 @@
 			}
 		case lost || noSubscribers && s.Now()-checked > checkInterval:
 			checked = s.Now()
-			r, err := s.Store.Reader(ctx, s.Zone)
+			r, err := s.lookUpReader(ctx)
 			if err != nil {
 				s.Log.Warn("cannot look up the zone's reader", "error", err)
 				continue
@@ -328,19 +360,22 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrTooManyChanges):
+		case isListRequired(err):
 			s.recordResponse()
-			s.Log.Info("listing a kind again", "kind", kind.String(), "after", s.knownRevision(kind),
+			s.recordEra(update.AsOf.Era)
+			s.Log.Info("listing a kind again", "kind", kind.String(), "after", s.knownRevision(kind).String(),
 				"took_ms", (s.Now() - began).Milliseconds(), "cause", err)
 			mustList = true
 		case err != nil:
 			s.recordFailure()
-			s.Log.Warn("a watch failed", "kind", kind.String(), "after", s.knownRevision(kind),
+			s.Log.Warn("a watch failed", "kind", kind.String(), "after", s.knownRevision(kind).String(),
 				"took_ms", (s.Now() - began).Milliseconds(), "error", err)
 			sleep(ctx, randomBackoff())
 		default:
 			wait = watchWait
-			s.deliverUpdate(ctx, update, false)
+			if err := s.deliverUpdate(ctx, update, false); err != nil {
+				s.Log.Info("discarded the response to a watch", "kind", kind.String(), "as_of", update.AsOf.String(), "cause", err)
+			}
 			if len(update.Records) > 0 && limiter.Wait(ctx) != nil {
 				return
 			}
@@ -348,31 +383,43 @@
 	}
 }
 
-// mustList reports whether a kind must be listed before it is watched: nothing of it is known, or the changes since may
-// be larger than the kind itself.
+// isListRequired reports whether a kind must be listed after its watch failed.
+func isListRequired(err error) bool {
+	return errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrTooManyChanges) || errors.Is(err, ErrHistoryReplaced)
+}
+
+// mustList reports whether a kind must be listed before it is watched: nothing of it is known, or only from an earlier history
+// of the store, or the changes since may be larger than the kind itself.
 func (s *Source) mustList(kind registry.Kind) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.asOf[kind] == 0 || kind == registry.Configs && s.Now()-s.confirmedAt[kind] > maxHistoryAge
+	return s.asOf[kind].IsZero() || s.asOf[kind].Era < s.era || kind == registry.Configs && s.Now()-s.confirmedAt[kind] > maxHistoryAge
 }
 
 // list reads all objects of a kind and delivers them. refreshed is true when no source of updates confirms them.
 func (s *Source) list(ctx context.Context, kind registry.Kind, refreshed bool) error {
 	u, err := s.Store.List(ctx, kind)
-	if err != nil {
-		if ctx.Err() == nil {
-			s.Log.Warn("cannot list a kind", "kind", kind.String(), "error", err)
-		}
-		return err
+	if err == nil {
+		err = s.deliverUpdate(ctx, u, refreshed)
 	}
-	s.deliverUpdate(ctx, u, refreshed)
-	return nil
+	if err != nil && ctx.Err() == nil {
+		s.Log.Warn("cannot list a kind", "kind", kind.String(), "error", err)
+	}
+	return err
 }
 
-// deliverUpdate sends an update that the store has just returned to the control thread.
-func (s *Source) deliverUpdate(ctx context.Context, u registry.Update, refreshed bool) {
+// deliverUpdate sends an update that the store has just returned to the control thread. Errors: errEarlierHistory,
+// errOlderList.
+func (s *Source) deliverUpdate(ctx context.Context, u registry.Update, refreshed bool) error {
 	s.recordResponse()
+	if !s.recordEra(u.AsOf.Era) {
+		return errEarlierHistory
+	}
+	if u.Full && u.AsOf.Before(s.knownRevision(u.Kind)) {
+		return errOlderList
+	}
 	s.sendUpdate(ctx, u, s.Now(), refreshed)
+	return nil
 }
 
 // sendUpdate sends an update that the store confirmed at the given time to the control thread, and then records its
@@ -380,7 +427,9 @@
 // would then be ignored as an older one; it would be missing if ctx ended meanwhile. It reports whether it sent the update.
 func (s *Source) sendUpdate(ctx context.Context, u registry.Update, confirmedAt time.Duration, refreshed bool) bool {
 	e := Event{Update: &u, Refreshed: refreshed}
-	e.ConfirmedAt[u.Kind] = confirmedAt
+	if u.Follows(s.knownRevision(u.Kind)) {
+		e.ConfirmedAt[u.Kind] = confirmedAt
+	}
 	if !s.send(ctx, e) {
 		return false
 	}
@@ -438,8 +487,10 @@
 func (s *Source) advanceRevision(u registry.Update, confirmedAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asOf[u.Kind] = max(s.asOf[u.Kind], u.AsOf)
-	s.confirmedAt[u.Kind] = max(s.confirmedAt[u.Kind], confirmedAt)
+	if u.Follows(s.asOf[u.Kind]) {
+		s.asOf[u.Kind] = u.AsOf
+		s.confirmedAt[u.Kind] = max(s.confirmedAt[u.Kind], confirmedAt)
+	}
 	for i := range u.Records {
 		if config := u.Records[i].Config; config != nil {
 			s.configs.Add(config)
@@ -456,7 +507,42 @@
 	}
 }
 
-func (s *Source) knownRevision(kind registry.Kind) uint64 {
+// recordEra records the history of the store that a response belongs to. It returns false if that is an earlier one than
+// that of another response.
+func (s *Source) recordEra(era uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era < s.era {
+		return false
+	}
+	if era > s.era {
+		if s.era > 0 {
+			s.Log.Warn("the store was restored from an earlier copy", "era", era, "era_before", s.era)
+		}
+		s.era = era
+	}
+	return true
+}
+
+// discardOtherHistories makes the ages in a message unknown for kinds that the sender has from another history of the store
+// than this VM has them from with the updates of the message, or from an earlier one than the store's responses.
+func (s *Source) discardOtherHistories(message *Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for kind := range message.Ages {
+		era, received := s.asOf[kind].Era, !s.asOf[kind].IsZero()
+		for i := range message.Updates {
+			if u := &message.Updates[i]; u.Kind == registry.Kind(kind) && u.Follows(s.asOf[kind]) {
+				era, received = u.AsOf.Era, true
+			}
+		}
+		if era < s.era || received && era != message.Eras[kind] {
+			message.Ages[kind] = UnknownAge
+		}
+	}
+}
+
+func (s *Source) knownRevision(kind registry.Kind) registry.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.asOf[kind]
--- a/internal/feed/source_test.go
+++ b/internal/feed/source_test.go
@@ -24,19 +24,21 @@
 	return registry.Update{}, nil
 }
 
-func (s *readerStore) Watch(_ context.Context, _ registry.Kind, _ uint64, wait time.Duration) (registry.Update, error) {
+func (s *readerStore) Watch(_ context.Context, _ registry.Kind, _ registry.Revision, wait time.Duration) (registry.Update, error) {
 	if s.watches != nil {
 		return s.watches(wait)
 	}
 	return registry.Update{}, nil
 }
 
-func (s *readerStore) Reader(context.Context, core.ZoneName) (Reader, error) { return s.reader, nil }
+func (s *readerStore) Reader(context.Context, core.ZoneName, bool) (Reader, error) {
+	return s.reader, nil
+}
 
 func (s *readerStore) Claim(_ context.Context, _ core.ZoneName, r Reader) (Reader, error) {
 	s.claims++
 	if r.Revision == s.reader.Revision {
-		r.Revision++
+		r.Revision.Number++
 		s.reader = r
 	}
 	return s.reader, nil
@@ -69,15 +71,15 @@
 		reader Reader
 		want   core.VMName
 	}{
-		{"the lost reader has claimed again", Reader{VM: "vm-1", Revision: 45}, "vm-1"},
-		{"another VM has claimed", Reader{VM: "vm-3", Revision: 45}, "vm-3"},
-		{"nobody has claimed", Reader{VM: "vm-1", Revision: 19}, "vm-2"},
+		{"the lost reader has claimed again", Reader{VM: "vm-1", Revision: rev(45)}, "vm-1"},
+		{"another VM has claimed", Reader{VM: "vm-3", Revision: rev(45)}, "vm-3"},
+		{"nobody has claimed", Reader{VM: "vm-1", Revision: rev(19)}, "vm-2"},
 	} {
 		store := &readerStore{reader: test.reader}
 		s := NewSource(Options{
 			VM: "vm-2", CPUShare: 1, Store: store, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return 0 },
 		})
-		r, err := s.replaceReader(t.Context(), Reader{VM: "vm-1", Revision: 19})
+		r, err := s.replaceReader(t.Context(), Reader{VM: "vm-1", Revision: rev(19)})
 		if err != nil || r.VM != test.want {
 			t.Errorf("%s: the reader is %s (%v), want %s", test.name, r.VM, err, test.want)
 		}
@@ -105,7 +107,7 @@
 	}}
 	events := make(chan Event, 16)
 	s := NewSource(Options{VM: "vm-1", Store: store, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return 0 }, Events: events})
-	s.advanceRevision(registry.Update{Kind: registry.Targets, AsOf: 1}, 0)
+	s.advanceRevision(registry.Update{Kind: registry.Targets, AsOf: rev(1)}, 0)
 	s.watch(ctx, registry.Targets)
 	want := []time.Duration{firstWatchWait, watchWait, watchWait, firstWatchWait, watchWait}
 	if !slices.Equal(waits, want) {
@@ -121,24 +123,29 @@
 	s := testSource(&readerStore{}, events)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	s.deliverUpdate(ctx, registry.Update{Kind: registry.Configs, AsOf: 7}, false)
-	if revision := s.knownRevision(registry.Configs); revision != 0 {
-		t.Errorf("revision %d is recorded although the update was not delivered", revision)
+	_ = s.deliverUpdate(ctx, registry.Update{Kind: registry.Configs, AsOf: rev(7)}, false)
+	if revision := s.knownRevision(registry.Configs); !revision.IsZero() {
+		t.Errorf("revision %s is recorded although the update was not delivered", revision)
 	}
 	go func() { <-events }()
-	s.deliverUpdate(t.Context(), registry.Update{Kind: registry.Configs, AsOf: 7}, false)
-	if revision := s.knownRevision(registry.Configs); revision != 7 {
-		t.Errorf("revision %d is recorded after the update was delivered, want 7", revision)
+	if err := s.deliverUpdate(t.Context(), registry.Update{Kind: registry.Configs, AsOf: rev(7)}, false); err != nil {
+		t.Fatal(err)
+	}
+	if revision := s.knownRevision(registry.Configs); revision != rev(7) {
+		t.Errorf("revision %s is recorded after the update was delivered, want 7", revision)
 	}
 }
 
 // Guards against a zone that loses one more reader: a VM that was stopping claimed the role, while it accepted no
 // subscriptions any more (day big-storm, issue 21).
 func TestStoppingVMDoesNotClaim(t *testing.T) {
-	store := &readerStore{reader: Reader{VM: "vm-1", Revision: 19}}
+	store := &readerStore{reader: Reader{VM: "vm-1", Revision: rev(19)}}
 	s := testSource(store, make(chan Event, 16))
 	s.SetStopping()
 	if _, err := s.replaceReader(t.Context(), store.reader); !errors.Is(err, errStopping) || store.claims != 0 {
 		t.Errorf("error %v and %d claims, want none", err, store.claims)
 	}
 }
+
+// rev returns a revision of a store that numbers no histories.
+func rev(number uint64) registry.Revision { return registry.Revision{Number: number} }
--- a/internal/feed/start.go
+++ b/internal/feed/start.go
@@ -41,11 +41,10 @@
 func (s *Source) readState(ctx context.Context) (Reader, error) {
 	lookup, cancel := context.WithTimeout(ctx, s.startWait)
 	defer cancel()
-	reader, err := s.Store.Reader(lookup, s.Zone)
+	reader, err := s.lookUpReader(lookup)
 	if err != nil {
 		return Reader{}, err
 	}
-	s.recordResponse()
 	switch reader.VM {
 	case "":
 		return reader, errNoReader
@@ -68,6 +67,7 @@
 	}
 	// The reader encoded the state after the request.
 	message.addDelay(s.Now() - requested)
+	s.discardOtherHistories(&message)
 	s.deliver(ctx, message)
 	return reader, nil
 }
@@ -103,7 +103,7 @@
 	}
 	var missing []registry.Kind
 	for kind := range registry.Kind(registry.NumKinds) {
-		if s.knownRevision(kind) == 0 {
+		if s.knownRevision(kind).IsZero() {
 			missing = append(missing, kind)
 		}
 	}
@@ -121,7 +121,7 @@
 	var wg sync.WaitGroup
 	for _, kind := range missing {
 		wg.Go(func() {
-			for ctx.Err() == nil && s.knownRevision(kind) == 0 {
+			for ctx.Err() == nil && s.knownRevision(kind).IsZero() {
 				if s.list(ctx, kind, false) != nil {
 					sleep(ctx, randomBackoff())
 				}
--- a/internal/feed/start_test.go
+++ b/internal/feed/start_test.go
@@ -22,24 +22,24 @@
 
 func (s *countingStore) List(_ context.Context, kind registry.Kind) (registry.Update, error) {
 	s.lists.Add(1)
-	return registry.Update{Kind: kind, Full: true, AsOf: 100}, nil
+	return registry.Update{Kind: kind, Full: true, AsOf: rev(100)}, nil
 }
 
-func (s *countingStore) Watch(ctx context.Context, _ registry.Kind, _ uint64, _ time.Duration) (registry.Update, error) {
+func (s *countingStore) Watch(ctx context.Context, _ registry.Kind, _ registry.Revision, _ time.Duration) (registry.Update, error) {
 	<-ctx.Done()
 	return registry.Update{}, ctx.Err()
 }
 
-func (s *countingStore) Reader(context.Context, core.ZoneName) (Reader, error) {
+func (s *countingStore) Reader(context.Context, core.ZoneName, bool) (Reader, error) {
 	if s.noReader.Load() {
 		return Reader{}, nil
 	}
-	return Reader{VM: "vm-1", Address: s.address, Revision: 1}, nil
+	return Reader{VM: "vm-1", Address: s.address, Revision: rev(1)}, nil
 }
 
 func (s *countingStore) Claim(ctx context.Context, zone core.ZoneName, _ Reader) (Reader, error) {
 	s.noReader.Store(false)
-	return s.Reader(ctx, zone)
+	return s.Reader(ctx, zone, true)
 }
 
 // stateServer is a feed server that sends VMs that start the state with the given age of its data, or closes their
@@ -53,7 +53,7 @@
 	t.Cleanup(server.Close)
 	var updates []registry.Update
 	for kind := range registry.Kind(registry.NumKinds) {
-		updates = append(updates, registry.Update{Kind: kind, Full: true, AsOf: 10})
+		updates = append(updates, registry.Update{Kind: kind, Full: true, AsOf: rev(10)})
 	}
 	encoded, err := EncodeUpdates(updates)
 	if err != nil {
@@ -125,7 +125,7 @@
 			select {
 			case e := <-events:
 				if e.Update != nil {
-					kinds[e.Update.Kind] = e.Update.AsOf
+					kinds[e.Update.Kind] = e.Update.AsOf.Number
 					if want := time.Minute - 300*time.Millisecond; !test.fromStore && e.ConfirmedAt[e.Update.Kind] != want {
 						t.Errorf("%s: confirmed at %s, want %s", test.name, e.ConfirmedAt[e.Update.Kind], want)
 					}
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -13,6 +13,10 @@
 // ErrHistoryGone reports that the store no longer has the changes after a revision.
 const ErrHistoryGone = errors.ConstError("the store has dropped this part of its history: list the kind again")
 
+// ErrHistoryReplaced reports that the store's response belongs to another history than the revision of the call: the store has come
+// back from an earlier copy.
+const ErrHistoryReplaced = errors.ConstError("the store has another history than this revision: list the kind again")
+
 // ErrTooManyChanges reports that a watch returned more changes than arrived in time, or than a response may contain.
 const ErrTooManyChanges = errors.ConstError("the changes since this revision do not arrive in time: list the kind instead")
 
@@ -24,8 +28,9 @@
 	// Incarnation differs between two processes on a VM. A write that changes nothing leaves the revision of an
 	// object as it is, so that without it a VM that has restarted could not be told from one that is lost.
 	Incarnation uint64 `json:"incarnation"`
-	// Revision is the revision of the reader's object in the store; 0 when there is none.
-	Revision uint64 `json:"-"`
+	// Revision is the revision of the reader's object in the store. When there is none, its Number is 0 and its Era the
+	// history that has none.
+	Revision registry.Revision `json:"-"`
 }
 
 // Store is the platform's store.
@@ -33,13 +38,13 @@
 	// List reads all objects of a kind.
 	List(ctx context.Context, kind registry.Kind) (registry.Update, error)
 	// Watch waits until objects of a kind have changed after a revision, or until wait has passed.
-	// Errors: ErrHistoryGone, ErrTooManyChanges.
-	Watch(ctx context.Context, kind registry.Kind, after uint64, wait time.Duration) (registry.Update, error)
-	// Reader returns the reader of a zone; its VM is empty when there is none. The result may be some seconds
-	// old, because such a call costs a tenth of a call with an up-to-date result.
-	Reader(ctx context.Context, zone core.ZoneName) (Reader, error)
-	// Claim makes r the reader of a zone if the object still has r.Revision, and returns the zone's reader
-	// after the call.
+	// Errors: ErrHistoryGone, ErrTooManyChanges, and ErrHistoryReplaced, with which the update has the era of the response.
+	Watch(ctx context.Context, kind registry.Kind, after registry.Revision, wait time.Duration) (registry.Update, error)
+	// Reader returns the reader of a zone; its VM is empty when there is none. With staleOK the result may be some seconds
+	// old, and the call costs a tenth of one with an up-to-date result.
+	Reader(ctx context.Context, zone core.ZoneName, staleOK bool) (Reader, error)
+	// Claim makes r the reader of a zone if the object still has the number of r.Revision, and returns the zone's reader
+	// after the call. Its Revision tells in which history the condition was met.
 	Claim(ctx context.Context, zone core.ZoneName, r Reader) (Reader, error)
 }
 
--- a/internal/forwarder/configs_test.go
+++ b/internal/forwarder/configs_test.go
@@ -25,8 +25,8 @@
 			Name: fmt.Sprintf("r-%07d", i), Addr: addr, Backends: []registry.Backend{{Service: "desk", Weight: 1}},
 		})
 	}
-	return &registry.Update{Kind: registry.Configs, AsOf: version, Records: []registry.Record{{
-		Name: registry.ConfigName, Revision: version, Config: config,
+	return &registry.Update{Kind: registry.Configs, AsOf: rev(version), Records: []registry.Record{{
+		Name: registry.ConfigName, Revision: rev(version), Config: config,
 	}}}
 }
 
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -90,8 +90,9 @@
 	for _, z := range event.ReturnedZones {
 		c.registry.ApplyReturnedZone(z, now)
 	}
-	if event.Update != nil {
-		c.handleUpdate(event.Update, event.ConfirmedAt[event.Update.Kind], event.Refreshed)
+	if event.Update != nil && !c.handleUpdate(event.Update, event.ConfirmedAt[event.Update.Kind], event.Refreshed) {
+		// An update from another history, or an older one, does not confirm the data of this VM.
+		event.ConfirmedAt[event.Update.Kind] = 0
 	}
 	for kind, at := range event.ConfirmedAt {
 		if at > 0 {
@@ -234,50 +235,58 @@
 	c.feedConfirmedAt[kind] = max(c.feedConfirmedAt[kind], at)
 }
 
-// recordHistory records the history of the store that an update belongs to.
-func (c *control) recordHistory(update *registry.Update) {
-	known := &c.shared.histories[update.Kind]
-	if update.Era == 0 || update.Era == known.era.Load() {
-		return
-	}
-	c.log.Warn("the history of the store is another one", "kind", update.Kind.String(), "era", update.Era, "era_before", known.era.Load(),
-		"as_of", update.AsOf, "as_of_before", c.registry.AsOf(update.Kind), "full", update.Full, "role", string(c.state.Role), "peer", c.state.Peer)
-	known.era.Store(update.Era)
-	known.since.Store(int64(c.shared.clock.now()))
-}
-
-// handleUpdate applies an update, sends it to the subscribers and logs what it changed. refreshed is true when this VM has
-// read it because no source of updates confirmed it.
-func (c *control) handleUpdate(update *registry.Update, at time.Duration, refreshed bool) {
-	previous, confirmedAt := c.registry.AsOf(update.Kind), c.feedConfirmedAt[update.Kind]
-	if !refreshed {
-		c.confirmFeed(update.Kind, at)
-	}
-	c.recordHistory(update)
+// handleUpdate applies an update, sends it to the subscribers and logs what it changed. It reports whether the data of this VM is
+// as of the update now. refreshed is true when this VM has read it because no source of updates confirmed it.
+func (c *control) handleUpdate(update *registry.Update, at time.Duration, refreshed bool) bool {
+	kind := update.Kind
+	previous, confirmedAt, version := c.registry.AsOf(kind), c.feedConfirmedAt[kind], c.registry.ConfigVersion()
 	changes := c.registry.Apply(*update, at)
-	c.metrics.updates[update.Kind].Inc()
-	c.metrics.changes[update.Kind].Add(len(changes))
-	age := c.shared.clock.now() - at
-	for i, ch := range changes {
-		if i == maxChangeLogLines {
-			c.log.Info("further changes", "kind", update.Kind.String(), "changes", len(changes)-i, "as_of", update.AsOf)
-			break
-		}
-		c.log.Info(ch.Event, "kind", update.Kind.String(), "name", ch.Name, "revision", ch.Revision,
-			"as_of", update.AsOf, "age_ms", age.Milliseconds(), "detail", ch.Detail, "era", c.shared.histories[update.Kind].era.Load(),
-			"config", c.registry.ConfigVersion(), "role", string(c.state.Role), "peer", c.state.Peer)
+	applied := c.registry.AsOf(kind) == update.AsOf
+	if applied && !refreshed {
+		c.confirmFeed(kind, at)
 	}
+	c.metrics.updates[kind].Inc()
+	c.metrics.changes[kind].Add(len(changes))
+	if asOf := c.registry.AsOf(kind); asOf.Era != previous.Era {
+		c.recordHistory(kind, previous, asOf)
+	}
+	c.logChanges(changes, kind, update.AsOf, c.shared.clock.now()-at)
 	if update.Nameless > 0 {
-		c.log.Warn("left out objects without a readable name", "kind", update.Kind.String(), "objects", update.Nameless)
+		c.log.Warn("left out objects without a readable name", "kind", kind.String(), "objects", update.Nameless)
 	}
 	// An update that this VM already has is not sent on: two VMs that subscribe to each other would exchange
 	// it endlessly.
-	if update.AsOf > previous && (len(update.Records) > 0 || update.Full) {
-		if update.Kind == registry.Configs {
-			c.broadcastConfig(confirmedAt)
+	changed := applied && previous.Before(update.AsOf) && (len(update.Records) > 0 || update.Full)
+	switch {
+	case kind == registry.Configs && (changed || c.registry.ConfigVersion() > version):
+		c.broadcastConfig(confirmedAt)
+	case kind != registry.Configs && changed:
+		c.broadcast(feed.Message{Updates: []registry.Update{*update}})
+	}
+	return applied
+}
+
+// recordHistory records the history of the store from which this VM has a kind now.
+func (c *control) recordHistory(kind registry.Kind, before, asOf registry.Revision) {
+	history := &c.shared.histories[kind]
+	history.era.Store(asOf.Era)
+	history.since.Store(int64(c.shared.clock.now()))
+	if !before.IsZero() {
+		c.log.Warn("took over the objects of a restored store", "kind", kind.String(), "as_of", asOf.String(), "as_of_before", before.String(),
+			"held", c.registry.HeldRecords(), "role", string(c.state.Role), "peer", c.state.Peer)
+	}
+}
+
+// logChanges logs changes by one update.
+func (c *control) logChanges(changes []registry.Change, kind registry.Kind, asOf registry.Revision, age time.Duration) {
+	for i, ch := range changes {
+		if i == maxChangeLogLines {
+			c.log.Info("further changes", "kind", kind.String(), "changes", len(changes)-i, "as_of", asOf.String())
 			return
 		}
-		c.broadcast(feed.Message{Updates: []registry.Update{*update}})
+		c.log.Info(ch.Event, "kind", ch.Kind.String(), "name", ch.Name, "revision", ch.Revision.String(),
+			"as_of", asOf.String(), "age_ms", age.Milliseconds(), "detail", ch.Detail,
+			"config", c.registry.ConfigVersion(), "role", string(c.state.Role), "peer", c.state.Peer)
 	}
 }
 
@@ -292,6 +301,10 @@
 		// Without all kinds, new flows could be refused for want of targets, or go to a zone that is out of service.
 		return
 	}
+	for _, ch := range c.registry.ReleaseHeld(now) {
+		c.logChanges([]registry.Change{ch}, ch.Kind, c.registry.AsOf(ch.Kind), now-c.registry.ConfirmedAt(ch.Kind))
+	}
+	c.shared.heldRecords.Store(int64(c.registry.HeldRecords()))
 	if snapshot := c.registry.Snapshot(now); snapshot != nil {
 		c.shared.snapshot.Store(snapshot)
 		if c.snapshot == nil {
@@ -323,8 +336,10 @@
 		ReturnedZones: c.registry.ReturnedZones(now),
 	}
 	for kind := range registry.Kind(registry.NumKinds) {
-		switch asOf := c.registry.AsOf(kind); {
-		case asOf <= sub.AsOf[kind]:
+		// A VM that started with an earlier copy of the store may lack a configuration of an earlier history.
+		isNewer := sub.AsOf[kind].Before(c.registry.AsOf(kind)) || kind == registry.Configs && sub.ConfigReceived() < c.registry.ConfigVersion()
+		switch {
+		case !isNewer:
 		case kind == registry.Configs:
 			sub.SetConfigSent(c.registry.ConfigVersion())
 			message.Updates = append(message.Updates, c.registry.ExportConfig(sub.ConfigReceived()))
@@ -364,10 +379,11 @@
 	now := c.shared.clock.now()
 	for kind := range registry.Kind(registry.NumKinds) {
 		age := feed.UnknownAge
-		if c.registry.AsOf(kind) > 0 {
+		asOf := c.registry.AsOf(kind)
+		if !asOf.IsZero() {
 			age = now - c.feedConfirmedAt[kind]
 		}
-		message.Ages = append(message.Ages, age)
+		message.Ages, message.Eras[kind] = append(message.Ages, age), asOf.Era
 	}
 	message.ZoneVMs, message.SentAt = c.zoneSize(), now
 	if c.state.Role == feed.Reading {
--- a/internal/forwarder/control_test.go
+++ b/internal/forwarder/control_test.go
@@ -70,8 +70,8 @@
 // Guards against updates that two VMs which subscribe to each other exchange endlessly.
 func TestKnownUpdatesAreNotSentAgain(t *testing.T) {
 	c, subscriber := testControl(t)
-	u := registry.Update{Kind: registry.Targets, AsOf: 7, Records: []registry.Record{{
-		Name: "i-1", Revision: 7, Target: &registry.Target{Addr: netip.MustParseAddrPort("10.0.0.1:80")},
+	u := registry.Update{Kind: registry.Targets, AsOf: rev(7), Records: []registry.Record{{
+		Name: "i-1", Revision: rev(7), Target: &registry.Target{Addr: netip.MustParseAddrPort("10.0.0.1:80")},
 	}}}
 	for range 3 {
 		c.handleUpdate(&u, c.shared.clock.now(), false)
@@ -86,8 +86,8 @@
 func TestRestartsAreSentToSubscribers(t *testing.T) {
 	c, subscriber := testControl(t)
 	target := &forward.Target{ID: "i-1", Token: forward.NewToken("i-1", 1000)}
-	c.registry.Apply(registry.Update{Kind: registry.Targets, AsOf: 7, Records: []registry.Record{{
-		Name: "i-1", Revision: 7, Target: &registry.Target{StartMillis: 1000, Addr: netip.MustParseAddrPort("10.0.0.1:80")},
+	c.registry.Apply(registry.Update{Kind: registry.Targets, AsOf: rev(7), Records: []registry.Record{{
+		Name: "i-1", Revision: rev(7), Target: &registry.Target{StartMillis: 1000, Addr: netip.MustParseAddrPort("10.0.0.1:80")},
 	}}}, c.shared.clock.now())
 	c.handleConnection(connectionResult{target: target})
 	if n := len(c.registry.Observations(c.shared.clock.now())); n != 0 {
@@ -126,9 +126,9 @@
 	now := c.shared.clock.now()
 	const age = 10 * time.Second
 	updates := []registry.Update{
-		{Kind: registry.Targets, Full: true, AsOf: 7},
-		{Kind: registry.Configs, Full: true, AsOf: 7, Records: []registry.Record{{Name: registry.ConfigName, Revision: 3, Config: &registry.Config{Version: 1}}}},
-		{Kind: registry.ZonesOut, Full: true, AsOf: 7},
+		{Kind: registry.Targets, Full: true, AsOf: rev(7)},
+		{Kind: registry.Configs, Full: true, AsOf: rev(7), Records: []registry.Record{{Name: registry.ConfigName, Revision: rev(3), Config: &registry.Config{Version: 1}}}},
+		{Kind: registry.ZonesOut, Full: true, AsOf: rev(7)},
 	}
 	for i := range updates {
 		e := feed.Event{Update: &updates[i]}
@@ -188,8 +188,8 @@
 	c, _ := testControl(t)
 	now := c.shared.clock.now()
 	c.setState(feed.State{Role: feed.Reading})
-	c.handleUpdate(&registry.Update{Kind: registry.Targets, AsOf: 7}, now, false)
-	c.handleUpdate(&registry.Update{Kind: registry.Configs, AsOf: 7}, now-time.Minute, false)
+	c.handleUpdate(&registry.Update{Kind: registry.Targets, AsOf: rev(7)}, now, false)
+	c.handleUpdate(&registry.Update{Kind: registry.Configs, AsOf: rev(7)}, now-time.Minute, false)
 	c.publish()
 	var b strings.Builder
 	c.metrics.set.WritePrometheus(&b)
@@ -218,7 +218,7 @@
 func TestRefreshedDataDoesNotMakeTheFeedFresh(t *testing.T) {
 	c, _, conn := testSubscription(t)
 	var e feed.Event
-	e.Update, e.Refreshed = &registry.Update{Kind: registry.Targets, AsOf: 7}, true
+	e.Update, e.Refreshed = &registry.Update{Kind: registry.Targets, AsOf: rev(7)}, true
 	e.ConfirmedAt[registry.Targets] = c.shared.clock.now()
 	c.handleEvent(e)
 	if c.registry.ConfirmedAt(registry.Targets) != e.ConfirmedAt[registry.Targets] {
@@ -263,3 +263,6 @@
 		t.Errorf("vm-2 is redirected to %q, its own subscription", m.Redirect)
 	}
 }
+
+// rev returns a revision of a store that numbers no histories.
+func rev(number uint64) registry.Revision { return registry.Revision{Number: number} }
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -112,6 +112,7 @@
 			return (shared.clock.now() - cmp.Or(time.Duration(shared.histories[k].since.Load()), clockStart)).Seconds()
 		})
 	}
+	set.NewGauge("mangoweir_held_records", func() float64 { return float64(shared.heldRecords.Load()) })
 	for _, role := range []feed.Role{feed.Starting, feed.Reading, feed.Subscribed, feed.Borrowing, feed.Searching} {
 		set.NewGauge(fmt.Sprintf("mangoweir_source_role{role=%q}", string(role)), func() float64 {
 			if current := shared.role.Load(); current != nil && *current == role {
--- a/internal/forwarder/shared.go
+++ b/internal/forwarder/shared.go
@@ -22,6 +22,8 @@
 	confirmedAt [registry.NumKinds]atomic.Int64
 	// histories are the histories of the store from which this VM has each kind.
 	histories [registry.NumKinds]storeHistory
+	// heldRecords is the number of records that are held back after the store was restored.
+	heldRecords atomic.Int64
 	// role is the way in which the VM receives the changes of the store.
 	role atomic.Pointer[feed.Role]
 	// stopping is true from SIGTERM on, isolated while neither the store nor another VM can be reached, and
--- a/internal/forwarder/state.go
+++ b/internal/forwarder/state.go
@@ -17,7 +17,7 @@
 	updates   []byte
 	encodedAt time.Duration
 	// asOf are the revisions of the kinds, confirmed the times at which the store confirmed them.
-	asOf      [registry.NumKinds]uint64
+	asOf      [registry.NumKinds]registry.Revision
 	confirmed [registry.NumKinds]time.Duration
 }
 
@@ -44,8 +44,8 @@
 		Observations: c.registry.Observations(now), Ejections: c.registry.Ejections(now), ZoneVMs: c.zoneSize(),
 		ReturnedZones: c.registry.ReturnedZones(now),
 	}
-	for _, confirmed := range c.encoded.confirmed {
-		message.Ages = append(message.Ages, now-confirmed)
+	for kind, confirmed := range c.encoded.confirmed {
+		message.Ages, message.Eras[kind] = append(message.Ages, now-confirmed), c.encoded.asOf[kind].Era
 	}
 	b, err := message.EncodeWith(c.encoded.updates)
 	if err != nil {
--- a/internal/forwarder/state_test.go
+++ b/internal/forwarder/state_test.go
@@ -60,11 +60,11 @@
 	confirmed := c.shared.clock.now()
 	receive := func() {
 		for _, u := range []registry.Update{
-			{Kind: registry.Targets, Full: true, AsOf: 7, Records: []registry.Record{{Name: "i-1", Revision: 7, Target: &registry.Target{
+			{Kind: registry.Targets, Full: true, AsOf: rev(7), Records: []registry.Record{{Name: "i-1", Revision: rev(7), Target: &registry.Target{
 				StartMillis: 1000, Addr: netip.MustParseAddrPort("10.0.0.1:80"), ColdRemaining: 5 * time.Second,
 			}}}},
-			{Kind: registry.Configs, Full: true, AsOf: 8, Records: []registry.Record{{Name: registry.ConfigName, Revision: 8, Config: &registry.Config{Version: 3}}}},
-			{Kind: registry.ZonesOut, Full: true, AsOf: 9},
+			{Kind: registry.Configs, Full: true, AsOf: rev(8), Records: []registry.Record{{Name: registry.ConfigName, Revision: rev(8), Config: &registry.Config{Version: 3}}}},
+			{Kind: registry.ZonesOut, Full: true, AsOf: rev(9)},
 		} {
 			c.handleUpdate(&u, confirmed, false)
 		}
@@ -99,12 +99,12 @@
 	if age := time.Duration(m.AgeMillis[registry.Targets]) * time.Millisecond; age > maxEncodedAge {
 		t.Errorf("the state has the age %s although the store has just confirmed it", age)
 	}
-	u := registry.Update{Kind: registry.ZonesOut, AsOf: 12, Records: []registry.Record{{Name: "zone-b", Revision: 12}}}
+	u := registry.Update{Kind: registry.ZonesOut, AsOf: rev(12), Records: []registry.Record{{Name: "zone-b", Revision: rev(12)}}}
 	c.handleUpdate(&u, c.shared.clock.now(), false)
 	if m := requestState(t, c, nil); m == nil || len(m.Updates[registry.ZonesOut].Records) != 1 {
 		t.Errorf("the state lacks the last change: %v", m)
 	}
-	u = registry.Update{Kind: registry.ZonesOut, AsOf: 13, Records: []registry.Record{{Name: "zone-b", Revision: 13, Removed: true}}}
+	u = registry.Update{Kind: registry.ZonesOut, AsOf: rev(13), Records: []registry.Record{{Name: "zone-b", Revision: rev(13), Removed: true}}}
 	c.handleUpdate(&u, c.shared.clock.now(), false)
 	if m := requestState(t, c, nil); m == nil || len(m.ReturnedZones) != 1 || m.ReturnedZones[0].Zone != "zone-b" {
 		t.Errorf("the state lacks the zone that was taken back into service: %v", m)
--- a/internal/forwarder/traffic_test.go
+++ b/internal/forwarder/traffic_test.go
@@ -51,12 +51,12 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 	now := c.shared.clock.now()
-	c.handleUpdate(&registry.Update{Kind: registry.Configs, Full: true, AsOf: 8, Records: []registry.Record{{
-		Name: registry.ConfigName, Revision: 8, Config: &registry.Config{Version: 3, Services: []registry.Service{{Name: "desk"}},
+	c.handleUpdate(&registry.Update{Kind: registry.Configs, Full: true, AsOf: rev(8), Records: []registry.Record{{
+		Name: registry.ConfigName, Revision: rev(8), Config: &registry.Config{Version: 3, Services: []registry.Service{{Name: "desk"}},
 			Routes: []registry.Route{{Name: "r", Addr: service, Backends: []registry.Backend{{Service: "desk", Weight: 1}}}}},
 	}}}, now, false)
-	c.handleUpdate(&registry.Update{Kind: registry.Targets, Full: true, AsOf: 8, Records: []registry.Record{{
-		Name: "i-1", Revision: 7, Target: &registry.Target{
+	c.handleUpdate(&registry.Update{Kind: registry.Targets, Full: true, AsOf: rev(8), Records: []registry.Record{{
+		Name: "i-1", Revision: rev(7), Target: &registry.Target{
 			StartMillis: 1000, NumericID: 1, Service: "desk", Zone: "zone-a", Addr: target.LocalAddr().(*net.UDPAddr).AddrPort(),
 		},
 	}}}, now, false)
@@ -64,7 +64,7 @@
 	if c.shared.ready() {
 		t.Error("ready before the zones out of service are known")
 	}
-	c.handleUpdate(&registry.Update{Kind: registry.ZonesOut, Full: true, AsOf: 8}, now, false)
+	c.handleUpdate(&registry.Update{Kind: registry.ZonesOut, Full: true, AsOf: rev(8)}, now, false)
 	c.publish()
 	if !c.shared.ready() {
 		t.Error("not ready although all kinds were read")
