feed: claim the reader's role again when a restored store lacks the claim

A reader checked its role only while it had no subscribers, or after it had lost the store. A store that is restored from a copy without the claim names an earlier reader or none, and other VMs then follow that one or claim the role, so that the zone has two readers that do not share what they observe.

A reader that learns of a later history than that of its claim reads its object and claims the role again, on the revision that the new history has, if another VM or none is named. A result from before its own claim no longer takes the role away.

TestReaderClaimsAgainAfterRestore fails without the change: without it a reader that finds an earlier one in the copy gives the role up.

--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -131,3 +131,33 @@
 		}
 	}
 }
+
+// Guards against a reader whose role the store has lost: other VMs would subscribe to the VM that the copy names, or claim the
+// role while this VM keeps it.
+func TestReaderClaimsAgainAfterRestore(t *testing.T) {
+	own := func(era, number uint64) Reader { return Reader{VM: "vm-1", Revision: inEra(era, number)} }
+	for _, test := range []struct {
+		name         string
+		inStore      Reader
+		kept, claims bool
+	}{
+		{"the copy has the claim", own(2, 20), true, false},
+		{"the copy names an earlier reader", Reader{VM: "vm-2", Revision: inEra(2, 12)}, true, true},
+		{"the copy has no reader", Reader{Revision: inEra(2, 0)}, true, true},
+		{"the store was not restored, and the result is from before the claim", Reader{VM: "vm-2", Revision: inEra(1, 12)}, true, false},
+		{"the store was not restored, and another VM has claimed", Reader{VM: "vm-2", Revision: inEra(1, 31)}, false, false},
+	} {
+		store := &readerStore{reader: test.inStore}
+		s := testSource(store, make(chan Event, 16))
+		s.VM = "vm-1"
+		s.era = 1
+		s.setReader(own(1, 20))
+		kept, err := s.checkRole(t.Context())
+		if err != nil || kept != test.kept || store.claims > 0 != test.claims {
+			t.Errorf("%s: kept %t (%v) after %d claims, want %t and a claim %t", test.name, kept, err, store.claims, test.kept, test.claims)
+		}
+		if test.claims && (store.reader.VM != "vm-1" || s.roleFromEarlierHistory()) {
+			t.Errorf("%s: the reader is %s", test.name, store.reader.VM)
+		}
+	}
+}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -321,25 +321,53 @@
 			if !s.followAny(ctx) {
 				sleep(ctx, randomBackoff())
 			}
-		case lost || noSubscribers && s.Now()-checked > checkInterval:
+		case lost || s.roleFromEarlierHistory() || noSubscribers && s.Now()-checked > checkInterval:
 			checked = s.Now()
-			r, err := s.lookUpReader(ctx)
+			kept, err := s.checkRole(ctx)
 			if err != nil {
-				s.Log.Warn("cannot look up the zone's reader", "error", err)
+				s.Log.Warn("cannot check the reader's role", "error", err)
 				continue
 			}
 			if lost {
 				s.sendState(Reading, "", "the store answers again")
 			}
 			lost = false
-			if r.VM != s.VM {
-				s.setReader(r)
+			if !kept {
 				return
 			}
 		}
 	}
 }
 
+// roleFromEarlierHistory reports whether this VM claimed the reader's role in an earlier history of the store, which the
+// present one may not know.
+func (s *Source) roleFromEarlierHistory() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reader.Revision.Era < s.era
+}
+
+// checkRole reports whether this VM is still the zone's reader according to the store. It claims the role again if the store
+// was restored from a copy without its claim.
+func (s *Source) checkRole(ctx context.Context) (bool, error) {
+	own := s.lastReader()
+	r, err := s.lookUpReader(ctx)
+	switch {
+	case err != nil:
+		return false, err
+	case r.VM != s.VM && r.Revision.Era > own.Revision.Era:
+		if r, err = s.claim(ctx, r.Revision); err != nil {
+			return false, err
+		}
+		s.Log.Info("claimed the reader's role again after the store was restored", "reader", string(r.VM), "revision", r.Revision.String())
+	case r.Revision.Before(own.Revision):
+		// The result is from before this VM's claim.
+		return true, nil
+	}
+	s.setReader(r)
+	return r.VM == s.VM, nil
+}
+
 // watch delivers the changes of a kind until ctx ends.
 func (s *Source) watch(ctx context.Context, kind registry.Kind) {
 	limiter := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
