registry: place no flows on an entry whose address has a later owner

A restored store may have the entry of a target again whose address was given to another one since. The entry was used for new flows: the later target drops packets that name another one, so that clients wait for their next copy of the SYN.

Such an entry is unusable while the later target has one. TestEntryOfEarlierTargetAtAddress failed before: both targets were in the pool.

--- a/core/registry/restored_test.go
+++ b/core/registry/restored_test.go
@@ -242,3 +242,14 @@
 		})
 	})
 }
+
+// Guards against new flows to an address that a later target has: packets to the earlier target are lost there.
+func TestEntryOfEarlierTargetAtAddress(t *testing.T) {
+	convey.Convey("The entry of a target whose address has a later owner gets no new flows", t, func() {
+		earlier := targetRecord("i-1", 3)
+		later := targetRecord("i-2", 29).with(func(t *Target) { t.Addr, t.StartMillis = earlier.Target.Addr, 2000 })
+		r := restorableRegistry(later)
+		r.Apply(full(Targets, 26, earlier).inEra(2), time.Second)
+		convey.So(localAt(r, time.Second), convey.ShouldResemble, []string{"i-2"})
+	})
+}
--- a/core/registry/target.go
+++ b/core/registry/target.go
@@ -49,6 +49,8 @@
 func (r *Registry) retireAtAddress(inc *incarnation, at time.Duration) string {
 	old := r.byAddress[inc.target.Addr]
 	if old != nil && old.id != inc.id && old.target.StartMillis >= inc.target.StartMillis {
+		// Packets to the address reach the later one, which drops those that name another target.
+		inc.unusable = inc.unusable || !old.removed
 		return "a target that started later has the same address"
 	}
 	r.byAddress[inc.target.Addr] = inc
