soak: restore the store from an earlier copy while it is down

The stand-in of the store could not come back from a copy, so that neither the soak nor a test met revisions that are given out again.

The fleet keeps copies of the store; a run with -restores N has N events in which the store is down, returns from a copy up to 8 s old, operators write again what it lacks within a second, and a route changes while revisions are still given out again. The plans of seeds without restores stay as they were. At the end every VM must have the newest configuration.

Seed 1007 is a case of TestSoak.

--- a/Makefile
+++ b/Makefile
@@ -45,12 +45,14 @@
 bench:
 	$(GO) run ./cmd/bench
 
-# Runs real processes under random faults: SEEDS seeds from SEED on, PARALLEL at a time.
+# Runs real processes under random faults: SEEDS seeds from SEED on, PARALLEL at a time. The store is restored from an earlier
+# copy RESTORES times in each run.
 SEED ?= 1
 SEEDS ?= 1
 PARALLEL ?= 1
+RESTORES ?= 0
 soak: build
-	$(GO) run ./cmd/soak -binary bin/mangoweir -seed $(SEED) -seeds $(SEEDS) -parallel $(PARALLEL) -v
+	$(GO) run ./cmd/soak -binary bin/mangoweir -seed $(SEED) -seeds $(SEEDS) -parallel $(PARALLEL) -restores $(RESTORES) -v
 
 # Needs protoc; the plugin is built from the version in go.mod.
 generate:
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,7 @@
 		parallel = flag.Int("parallel", 1, "number of seeds run at the same time")
 		length   = flag.Duration("length", 25*time.Second, "length of a run")
 		vms      = flag.Int("vms", 3, "VMs in each of three zones")
+		restores = flag.Int("restores", 0, "number of times in a run that the store is restored from an earlier copy")
 		verbose  = flag.Bool("v", false, "print each fault as it begins")
 	)
 	flag.Parse()
@@ -47,7 +48,7 @@
 			if *verbose {
 				progress = os.Stdout
 			}
-			results[i], err = soak.Run(options, *length, progress)
+			results[i], err = soak.Run(options, *length, *restores, progress)
 			if err == nil {
 				fmt.Printf("seed %d: %d violations, outcomes %v\n", options.Seed, len(results[i].Violations), results[i].Outcomes)
 			}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,7 @@
 	StoreLostResponses  Kind = "store-lost" // half of the writes take effect but get no response
 	StoreHoldsWatches   Kind = "store-deaf" // watches get no response, then the history is dropped
 	Compact             Kind = "compact"    // the history is dropped
+	StoreRestored       Kind = "restored"   // the store is down, and returns from an earlier copy
 	Expire              Kind = "lapse"      // entries expire while the store is busy, and are written again
 	InvalidEntry        Kind = "odd-entry"  // another writer adds an entry that cannot be decoded
 	Drain               Kind = "drain"      // a target drains and ends
@@ -83,10 +84,17 @@
 	zoneOutTime = fleet.EvacuateBound + time.Second
 	// maxDuration is the maximum duration of an event.
 	maxDuration = 4 * time.Second
+	// maxCopyAge is the maximum age of the copy that the store is restored from, maxRewriteDelay the maximum time until
+	// operators write again what it lacks.
+	maxCopyAge      = 8 * time.Second
+	maxRewriteDelay = time.Second
+	// restoredDuration is how long the store is down before it is restored.
+	restoredDuration = 2 * time.Second
 )
 
-// NewPlan returns the events of a run, sorted by time. Equal arguments give equal plans.
-func NewPlan(seed uint64, length time.Duration) []Event {
+// NewPlan returns the events of a run, sorted by time. Equal arguments give equal plans. In addition to the events that the
+// seed gives, the store is restored from a copy the given number of times.
+func NewPlan(seed uint64, length time.Duration, restores int) []Event {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var plan []Event
 	// Plans of even seeds have planned changes only, so that the time bounds apply during the whole run.
@@ -108,6 +116,12 @@
 			plan = append(plan, e)
 		}
 	}
+	for range restores {
+		plan = append(plan, Event{
+			At:   quietStart + time.Duration(random.Int64N(int64(length-quietEnd-quietStart))),
+			Kind: StoreRestored, Duration: time.Duration(random.Int64N(int64(restoredDuration))), Pick: random.IntN(1000),
+		})
+	}
 	slices.SortStableFunc(plan, func(a, b Event) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,8 +49,9 @@
 	zonesOut    map[int]bool
 }
 
-// Run runs the plan of a seed and returns the result. An error means that the run itself failed.
-func Run(options fleet.Options, length time.Duration, progress io.Writer) (*Result, error) {
+// Run runs the plan of a seed, in which the store is restored from a copy the given number of times, and returns the result. An
+// error means that the run itself failed.
+func Run(options fleet.Options, length time.Duration, restores int, progress io.Writer) (*Result, error) {
 	f, err := fleet.Start(options)
 	if err != nil {
 		return nil, err
@@ -66,7 +67,7 @@
 	}
 	r := &run{Fleet: f, progress: progress, zonesOut: map[int]bool{}}
 	offset := f.Checker.Now()
-	plan := NewPlan(options.Seed, length)
+	plan := NewPlan(options.Seed, length, restores)
 	for _, e := range plan {
 		time.Sleep(offset + e.At - f.Checker.Now())
 		fmt.Fprintf(progress, "seed %d  %s\n", options.Seed, e)
@@ -85,6 +86,13 @@
 			At: f.Checker.Now(), Rule: "RECOVER", Detail: fmt.Sprintf("outcomes in the last seconds: %v", last),
 		})
 	}
+	for _, vm := range f.VMs {
+		if version := vm.ConfigVersion(); version != f.ConfigVersion() {
+			result.Violations = append(result.Violations, fleet.Violation{
+				At: f.Checker.Now(), Rule: "CONFIG", Detail: fmt.Sprintf("%s has configuration %v at the end, want %v", vm.Name, version, f.ConfigVersion()),
+			})
+		}
+	}
 	return result, nil
 }
 
@@ -121,6 +129,8 @@
 		vm.StoreProxy.SetRefuse(false)
 	case StoreBusy, StoreRateLimited, StoreReset, StoreSilent, StoreSlow, StoreLostResponses, StoreHoldsWatches:
 		r.storeFault(event)
+	case StoreRestored:
+		r.restoreStore(event)
 	case Compact:
 		r.Store.DropHistory()
 	case Expire:
@@ -162,6 +172,21 @@
 	r.Checker.SuspendBounds(time.Now())
 }
 
+// restoreStore restores the store from an earlier copy while it is down, and lets operators write again what it lacks. Targets
+// do so with their next heartbeat.
+func (r *run) restoreStore(event Event) {
+	outage := event
+	outage.Kind = []Kind{StoreBusy, StoreReset, StoreSilent}[event.Pick%3]
+	r.events.Go(func() { r.storeFault(outage) })
+	time.Sleep(event.Duration)
+	r.RestoreStore(maxCopyAge * time.Duration(event.Pick) / 1000)
+	time.Sleep(maxRewriteDelay * time.Duration(event.Pick%10) / 10)
+	r.RewriteObjects()
+	// Changes soon after the return get revisions that were given out before.
+	r.ChangeRoute("desk")
+	r.Checker.SuspendBounds(time.Now().Add(fleet.Heartbeat))
+}
+
 // expireEntries removes the entries of half of the running targets during an outage of the store. The targets
 // write them again.
 func (r *run) expireEntries(event Event) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,33 +46,39 @@
 	seed   uint64
 	fleet  fleet.Options
 	length time.Duration
+	// restores is the number of times that the store is restored from an earlier copy.
+	restores int
 }{
-	{"planned", 2, ciFleet, ciLength},
-	{"faults", 123, ciFleet, ciLength},
+	{"planned", 2, ciFleet, ciLength, 0},
+	{"faults", 123, ciFleet, ciLength, 0},
+	{"planned-restored", 4, ciFleet, ciLength, 2},
 	// There were 400 ms between two watches of targets, and a target that restarted cold with the same id got
 	// 21 new flows within a second in that time.
-	{"late-restart", 8, manualFleet, manualLength},
+	{"late-restart", 8, manualFleet, manualLength, 0},
 	// A target restarts cold with the same id while watches get no response, or while the store refuses calls,
 	// so that no VM can read that it is cold: up to 77 new flows within a second. On a busy machine, seed 7 also
 	// gave a zone two readers, only one of which had seen the target restart.
-	{"watches-held-restart", 7, manualFleet, manualLength},
-	{"outage-restart", 3, ciFleet, ciLength},
+	{"watches-held-restart", 7, manualFleet, manualLength, 0},
+	{"outage-restart", 3, ciFleet, ciLength, 0},
 	// The reader of a zone was too busy to find the port closed during a restart of 25 ms (seed 107).
-	{"busy-restart", 107, manualFleet, manualLength},
-	{"expired-restart", 121, manualFleet, manualLength},
+	{"busy-restart", 107, manualFleet, manualLength, 0},
+	{"expired-restart", 121, manualFleet, manualLength, 0},
 	// A VM that started during a target's cold start assumed that the cold start ended up to 0.94 s too early.
 	// The target got 11 new flows within a second, and it sustains 8.
-	{"late-subscriber", 3, manualFleet, manualLength},
+	{"late-subscriber", 3, manualFleet, manualLength, 0},
 	// A zone is taken out of service and brought back with cold targets, while the store serves no VM. See
 	// KNOWN-RED.txt.
-	{"unheard-return", 437, manualFleet, manualLength},
+	{"unheard-return", 437, manualFleet, manualLength, 0},
 	// All VMs are killed in an outage of the store, and a target restarts cold with the same id before most VMs of its
 	// zone have data again, from other zones. See KNOWN-RED.txt.
-	{"unseen-restart", 601, manualFleet, manualLength},
+	{"unseen-restart", 601, manualFleet, manualLength, 0},
 	// A target restarts cold with the same id while the store serves no VM, and one VM of its zone learns of it too late.
 	// See KNOWN-RED.txt.
-	{"silent-restart", 815, manualFleet, manualLength},
-	{"refused-restart", 831, manualFleet, manualLength},
+	// The store was restored from an earlier copy and gave out revisions again: VMs missed the changes with revisions that they
+	// knew, and kept an earlier configuration until the end.
+	{"restored-lost-changes", 1007, manualFleet, manualLength, 2},
+	{"silent-restart", 815, manualFleet, manualLength, 0},
+	{"refused-restart", 831, manualFleet, manualLength, 0},
 }
 
 // Guards against violations of the users' rules by real processes under overlapping faults and changes.
@@ -86,7 +92,7 @@
 			t.Parallel()
 			o := r.fleet
 			o.Binary, o.Dir, o.Seed = binary, logDir(t), r.seed
-			result, err := Run(o, r.length, io.Discard)
+			result, err := Run(o, r.length, r.restores, io.Discard)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -157,7 +163,7 @@
 // Guards against plans that are not determined by their seed, and against unplanned events in the plans
 // of even seeds.
 func TestPlanFollowsSeed(t *testing.T) {
-	first, second := NewPlan(7, time.Minute), NewPlan(7, time.Minute)
+	first, second := NewPlan(7, time.Minute, 2), NewPlan(7, time.Minute, 2)
 	if len(first) == 0 || len(first) != len(second) {
 		t.Fatalf("%d and %d events", len(first), len(second))
 	}
@@ -166,7 +172,7 @@
 			t.Fatalf("event %d: %v and %v", i, first[i], second[i])
 		}
 	}
-	for _, e := range NewPlan(8, time.Minute) {
+	for _, e := range NewPlan(8, time.Minute, 0) {
 		if !e.Planned() {
 			t.Fatalf("an even seed has the unplanned event %v", e)
 		}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +39,9 @@
 	ColdLimit     = coldPerSecond*1.5 + ColdSlack
 	// expiryInterval is how often entries that were not renewed are removed.
 	expiryInterval = 200 * time.Millisecond
+	// copyInterval is how often a copy of the store is kept, maxCopies the number of copies.
+	copyInterval = 500 * time.Millisecond
+	maxCopies    = 20
 )
 
 // Options are the parameters of a fleet.
@@ -75,6 +80,8 @@
 	droppedRoutes map[netip.AddrPort]time.Time // when the change was acknowledged
 	zonesOut      map[string]time.Time
 	targetCount   int
+	// copies are copies of the store, the newest one last.
+	copies []*objects.Copy
 }
 
 // services are the services of a fleet.
@@ -134,6 +141,7 @@
 	}
 	f.done.Go(func() { f.router.probeVMs(f.stop) })
 	f.done.Go(f.expireEntries)
+	f.done.Go(f.keepCopies)
 	return f, nil
 }
 
@@ -214,6 +222,45 @@
 	}
 }
 
+// keepCopies keeps copies of the store until the fleet stops.
+func (f *Fleet) keepCopies() {
+	for {
+		f.mu.Lock()
+		f.copies = append(f.copies, f.Store.Copy())
+		f.copies = f.copies[max(0, len(f.copies)-maxCopies):]
+		f.mu.Unlock()
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(copyInterval):
+		}
+	}
+}
+
+// RestoreStore restores the store from a copy that is up to age old. RewriteObjects must be called afterwards.
+func (f *Fleet) RestoreStore(age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := max(0, len(f.copies)-1-int(age/copyInterval))
+	f.Store.Restore(f.copies[i])
+	// Later copies belong to the history that the store has lost.
+	f.copies = f.copies[:i+1]
+}
+
+// RewriteObjects writes again what operators wrote, as far as the store lacks it. Targets do the same with their heartbeats.
+func (f *Fleet) RewriteObjects() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.putConfig()
+	for _, zone := range f.zones {
+		if _, out := f.zonesOut[zone]; out {
+			f.Store.Put(kindZonesOut, zone, map[string]any{})
+		} else {
+			f.Store.Remove(kindZonesOut, zone)
+		}
+	}
+}
+
 // AddTarget starts another target in the z-th zone.
 func (f *Fleet) AddTarget(z int, service string, cold bool) (*Target, error) {
 	f.mu.Lock()
@@ -247,8 +294,14 @@
 // writeConfig writes the next version of the configuration.
 func (f *Fleet) writeConfig() {
 	f.version += 3
+	f.putConfig()
+}
+
+// putConfig writes the present version of the configuration.
+func (f *Fleet) putConfig() {
 	var routes, svcs []map[string]any
-	for addr, service := range f.routes {
+	for _, addr := range slices.SortedFunc(maps.Keys(f.routes), netip.AddrPort.Compare) {
+		service := f.routes[addr]
 		routes = append(routes, map[string]any{
 			"name": "r-" + addr.Addr().String(), "hostname": addr.Addr().String(),
 			"pathPrefix": fmt.Sprintf("/%d/", addr.Port()), "service": service, "type": "safe", "timeoutMs": 4000,
@@ -310,9 +363,9 @@
 
 // TakeZoneOut takes the z-th zone out of service. BringZoneBack reverts that.
 func (f *Fleet) TakeZoneOut(z int) {
-	f.Store.Put(kindZonesOut, f.zones[z], map[string]any{})
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.Store.Put(kindZonesOut, f.zones[z], map[string]any{})
 	f.zonesOut[f.zones[z]] = time.Now()
 }
 
@@ -326,8 +379,8 @@
 		}
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.zonesOut, f.zones[z])
-	f.mu.Unlock()
 	f.Store.Remove(kindZonesOut, f.zones[z])
 }
 
--- a/internal/standin/fleet/vm.go
+++ b/internal/standin/fleet/vm.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -45,6 +49,26 @@
 // MetricsURL returns the URL of the VM's metrics.
 func (v *VM) MetricsURL() string { return "http://" + v.httpAddr() + "/metrics" }
 
+// ConfigVersion returns the version of the configuration that is in force on the VM according to its metrics; 0 when the VM
+// does not answer.
+func (v *VM) ConfigVersion() float64 {
+	const metric = "mangoweir_config_version "
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get(v.MetricsURL())
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), metric); ok {
+			version, _ := strconv.ParseFloat(value, 64)
+			return version
+		}
+	}
+	return 0
+}
+
 // WriteSettings writes the VM's settings file.
 func (v *VM) WriteSettings(coldSlack float64) error {
 	var seeds []string
