--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -35,6 +35,7 @@
 		asJSON   bool
 		duration time.Duration
 		logFile  string
+		forward  bool
 	)
 	cmd := &cobra.Command{
 		Use:   "demo",
@@ -42,15 +43,25 @@
 		Long: `Run the Randstad deployment with entry VMs, targets, clients and the platform stand-in in one
 process. Clients keep live feeds open, post bookings and upload photos while a zone is taken out of
 service and back, an entry VM is replaced and a target becomes cold. All counts come from clients and
-targets. The demo ends within a minute; its exit code is 1 when a guarantee was violated.`,
-		Example: "  mangoweir demo --seed 7\n  mangoweir demo --json > summary.json",
+targets. The demo ends within a minute; its exit code is 1 when a guarantee was violated.
+
+With --forward, processes of "mangoweir forward" run on a stand-in of the users' platform instead. Its store
+comes back from an earlier copy while routes change and targets drain.`,
+		Example: "  mangoweir demo --seed 7\n  mangoweir demo --json > summary.json\n  mangoweir demo --forward",
 		Args:    cobra.NoArgs,
 	}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the workload")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print the summary as JSON instead of tables")
 	cmd.Flags().DurationVar(&duration, "duration", demo.DefaultDuration, "length of the run, at most a minute")
 	cmd.Flags().StringVar(&logFile, "log", "", "write the entry VMs' logs to this file")
+	cmd.Flags().BoolVar(&forward, "forward", false, "run the packet-forwarding path, with a store that is restored from a copy, for 20 s")
+	cmd.MarkFlagsMutuallyExclusive("forward", "json")
+	cmd.MarkFlagsMutuallyExclusive("forward", "duration")
+	cmd.MarkFlagsMutuallyExclusive("forward", "log")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if forward {
+			return runForwardDemo(cmd.Context(), seed, cmd.OutOrStdout())
+		}
 		log, closeLog, err := demoLogger(logFile)
 		if err != nil {
 			return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -79,6 +79,9 @@
 	{"restored-lost-changes", 1007, manualFleet, manualLength, 2},
 	{"silent-restart", 815, manualFleet, manualLength, 0},
 	{"refused-restart", 831, manualFleet, manualLength, 0},
+	// A target restarts cold with the same id while the store is silent, and VMs of another zone, which place flows on it, do not
+	// learn of it. See KNOWN-RED.txt.
+	{"silent-store-restart", 2009, manualFleet, manualLength, 0},
 }
 
 // Guards against violations of the users' rules by real processes under overlapping faults and changes.
