registry: apply a zone out of service at once unless it is the one that was taken back

A VM whose connection to the store was silent while a zone was taken out, and that read a restored store next, held the zone back for 2.5 s as if it had just been taken back: new flows reached the zone 5.1 s after the acknowledgement (bound 5 s).

The VM now holds back only the object that it has known to be removed, by its number; any other is applied at once, which is the safe state. The test of refused connections confirms all kinds, so that it no longer passes for want of fresh data.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -64,6 +64,8 @@
 	// previous contains incarnations that were replaced, by token.
 	previous map[forward.Token]*incarnation
 	zonesOut map[core.ZoneName]Revision
+	// takenBack contains the revision of the object of each zone that was out of service, when the zone was taken back.
+	takenBack map[core.ZoneName]Revision
 	// returningZones contains the zones that were taken back into service a short time ago.
 	returningZones map[core.ZoneName]zoneReturn
 
@@ -121,6 +123,7 @@
 		previous:       map[forward.Token]*incarnation{},
 		zonesOut:       map[core.ZoneName]Revision{},
 		held:           map[heldKey]heldRecord{},
+		takenBack:      map[core.ZoneName]Revision{},
 		returningZones: map[core.ZoneName]zoneReturn{},
 		changed:        true,
 		nextSnapshot:   never,
@@ -363,6 +366,7 @@
 		return changes
 	case rec.Removed && out:
 		delete(r.zonesOut, zone)
+		r.takenBack[zone] = revision
 		r.returningZones[zone] = zoneReturn{at: at, revision: asOf}
 		change.Event = "zone taken back into service"
 	case !rec.Removed && !out:
--- a/core/registry/restored.go
+++ b/core/registry/restored.go
@@ -146,9 +146,12 @@
 	return changes
 }
 
-// applyRestoredZone applies a zone that is out of service in the first list of another history.
+// applyRestoredZone applies a zone that is out of service in the first list of another history. It is held back only if it is
+// the object that operators had removed: a VM that has missed that the zone was taken out must apply it at once.
 func (r *Registry) applyRestoredZone(changes []Change, rec *Record, at time.Duration) []Change {
-	if _, out := r.zonesOut[core.ZoneName(rec.Name)]; out {
+	zone := core.ZoneName(rec.Name)
+	removed, known := r.takenBack[zone]
+	if _, out := r.zonesOut[zone]; out || !known || removed.Number != rec.Revision.Number {
 		return r.applyZone(changes, rec, rec.Revision, at)
 	}
 	if r.hold(ZonesOut, *rec, at, at+rewriteTime) {
--- a/core/registry/restored_test.go
+++ b/core/registry/restored_test.go
@@ -157,6 +157,8 @@
 		convey.Convey("the flows of a target that refuses connections get DrainExitDelay to end, as its drain may be lost with the history", func() {
 			r := restorableRegistry(targetRecord("i-1", 3))
 			r.Apply(full(Targets, 26, targetRecord("i-1", 3)).inEra(2), at)
+			r.Confirm(Configs, at)
+			r.Confirm(ZonesOut, at)
 			token := forward.NewToken("i-1", 1000)
 			r.ObserveConnection(snapshotAt(r, at).Targets[token], true, at+time.Second)
 			convey.So(snapshotAt(r, at+time.Second).Targets[token].Condition, convey.ShouldEqual, forward.Draining)
@@ -201,8 +203,12 @@
 				convey.So(pools(snapshotAt(r, at+rewriteTime))["cold"], convey.ShouldResemble, []string{"i-1"})
 			})
 		})
+		convey.Convey("a zone that this VM has not known as out leaves service at once, as it may have been taken out seconds before", func() {
+			r.Apply(full(ZonesOut, 26, zoneOut(24)).inEra(2), at)
+			convey.So(isOut(r, at), convey.ShouldBeTrue)
+		})
 		convey.Convey("a zone in service that the copy has as out leaves service only after that time", func() {
-			r.Apply(changed(ZonesOut, 31, zoneOut(31)).inEra(1), time.Second)
+			r.Apply(changed(ZonesOut, 31, zoneOut(20)).inEra(1), time.Second)
 			r.Apply(changed(ZonesOut, 32, removed(string(zoneA), 32)).inEra(1), 2*time.Second)
 			r.Apply(full(ZonesOut, 26, zoneOut(20)).inEra(2), at)
 			convey.So(isOut(r, at+rewriteTime-1), convey.ShouldBeFalse)
@@ -214,6 +220,10 @@
 				r.Apply(changed(ZonesOut, 27, zoneOut(27)).inEra(2), at+time.Second)
 				convey.So(isOut(r, at+time.Second), convey.ShouldBeTrue)
 			})
+			convey.Convey("or at once if the object is another one", func() {
+				r.Apply(full(ZonesOut, 26, zoneOut(24)).inEra(3), at+time.Second)
+				convey.So(isOut(r, at+time.Second), convey.ShouldBeTrue)
+			})
 			convey.Convey("as the store says so", func() {
 				convey.So(isOut(r, at+rewriteTime), convey.ShouldBeTrue)
 			})
