--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -286,7 +286,7 @@
 		case !fromReader:
 			return end
 		case servedSince > 0 && now-servedSince > readerRecoveryTime:
-			s.sendState(Searching, subscription.address, "the reader cannot reach the store, which serves this VM")
+			s.sendState(Searching, subscription.address, "the store serves this VM, but does not confirm the reader's data")
 			return end
 		case servedSince == 0 && now-lastTry > storeRetryInterval:
 			lastTry = now
