--- a/core/registry/restored.go
+++ b/core/registry/restored.go
@@ -9,10 +9,10 @@
 	"github.com/mangoweir/mangoweir/core"
 )
 
-// When the store has come back from an earlier copy, operators and targets write again what they wrote since. Until then,
-// what the copy lacks, or has again, is no news: a missing entry may be that of a running target, and an entry that is there
-// again may be that of a target that has left. A Registry holds such differences back. They take effect after a time, unless the
-// store reports the object before.
+// When the store has come back from an earlier copy, operators and targets write again what they wrote since. Until then the
+// copy does not show the present state: a missing entry may be that of a running target, and an entry that has returned may be
+// that of a target that has left. A Registry holds such differences back. They take effect after a time, unless the store
+// reports the object before.
 
 // rewriteTime is the time in which operators and targets write again what a restored store has lost.
 const rewriteTime = entryReturnTime
