registry: take no entry of one target for the end of another

Cause: the entry that started last at an address ended the earlier target in the registry, whatever its service was. An entry of an unknown service under a target's own id also replaced the target's address.

Change: entries whose service the configuration does not have are kept apart, without effect, until a configuration has it.

The property test writes foreign entries now; without the change it failed after 50 cases (a packet went to another target).

--- a/core/registry/export.go
+++ b/core/registry/export.go
@@ -16,10 +16,14 @@
 	switch kind {
 	case Targets:
 		for _, id := range slices.Sorted(maps.Keys(r.targets)) {
-			if inc := r.targets[id]; !inc.removed {
+			_, overwritten := r.unconfigured[id]
+			if inc := r.targets[id]; !inc.removed && !overwritten {
 				update.Records = append(update.Records, inc.export(r.confirmed[kind]))
 			}
 		}
+		for _, u := range r.unconfigured {
+			update.Records = append(update.Records, u.export(r.confirmed[kind]))
+		}
 		for id := range r.unreadable {
 			if r.targets[id] == nil {
 				update.Records = append(update.Records, Record{Name: id, Revision: r.asOf[kind], Unreadable: unreadableElsewhere})
@@ -64,3 +68,11 @@
 	rec.Target = &t
 	return rec
 }
+
+// export returns the record, with ColdRemaining counting from the given time.
+func (u *receivedRecord) export(from time.Duration) Record {
+	rec, t := u.record, *u.record.Target
+	t.ColdRemaining = max(0, t.ColdRemaining-(from-u.at))
+	rec.Target = &t
+	return rec
+}
--- a/core/registry/property_test.go
+++ b/core/registry/property_test.go
@@ -59,6 +59,8 @@
 	rewriteAt time.Duration
 	// starts is the number of starts of targets.
 	starts int64
+	// foreign is the number of entries of other writers.
+	foreign int
 
 	zones    []core.ZoneName
 	targets  []*target
@@ -290,6 +292,35 @@
 	c.write(registry.Targets, t.rec)
 }
 
+// writeForeign writes an entry of another writer, with the address of a target and a service that no configuration has, or
+// removes one.
+func (c *cluster) writeForeign(t *target) {
+	if c.foreign > 0 && c.pick("remove", 3) == 0 {
+		c.write(registry.Targets, registry.Record{Name: fmt.Sprintf("agent-%x", 1+c.pick("foreign", c.foreign)), Removed: true})
+		return
+	}
+	c.foreign++
+	entry := *t.rec.Target
+	entry.Service, entry.StartMillis = "sidecar", entry.StartMillis+int64(c.pick("born", 3)-1)<<40
+	if c.pick("number", 2) == 0 {
+		entry.NumericID = uint64(c.foreign)
+	}
+	c.write(registry.Targets, registry.Record{Name: fmt.Sprintf("agent-%x", c.foreign), Target: &entry})
+}
+
+// overwrite replaces the entry of a running target by another writer's. The target writes its own with its next heartbeat.
+func (c *cluster) overwrite(t *target) {
+	rec := registry.Record{Name: t.id, Unreadable: "odd"}
+	if c.pick("readable", 2) == 0 {
+		entry := *t.rec.Target
+		entry.Service, entry.StartMillis = "sidecar", entry.StartMillis+int64(c.pick("born", 3)-1)
+		entry.Addr = c.targets[c.pick("address", len(c.targets))].rec.Target.Addr
+		rec = registry.Record{Name: t.id, Target: &entry}
+	}
+	c.write(registry.Targets, rec)
+	t.renewAt, t.expired = c.now+time.Duration(c.pick("heartbeat", int(heartbeat))), true
+}
+
 // restart replaces a VM's process.
 func (c *cluster) restart(v *vm) {
 	v.registry = registry.New(v.zone, registry.Limits{ColdOverage: 1.5, ColdSlack: 5, Heartbeat: heartbeat})
@@ -413,6 +444,9 @@
 	}
 	// A target accepts a SYN with its id, whichever incarnation the VM's snapshot has.
 	i := slices.IndexFunc(c.targets, func(t *target) bool { return t.id == d.Target.ID })
+	if i < 0 || d.Target.Addr != c.targets[i].rec.Target.Addr {
+		c.t.Fatalf("a flow was placed by an entry of another writer: target %s at %s", d.Target.ID, d.Target.Addr)
+	}
 	t := c.targets[i]
 	if out, ok := c.zoneOut[d.Target.Zone]; ok && c.now-out > zoneOutBound && c.inContact(v) {
 		c.t.Fatalf("EVAC: a flow to a zone that was taken out of service %s ago", c.now-out)
@@ -461,7 +495,7 @@
 		Flow: f.key, Flags: forward.ACK, Token: f.token, Ack: f.seq, Seq: f.seq, Length: 10,
 	}, c.now)
 	running := f.target.running && f.target.rec.Target.StartMillis == f.startMillis
-	if d.Action == forward.Forward && d.Target.ID != f.target.id {
+	if d.Action == forward.Forward && (d.Target.ID != f.target.id || d.Target.Addr != f.target.rec.Target.Addr) {
 		c.t.Fatalf("FLOW: a packet went to another target")
 	}
 	if d.Action == forward.Reset {
@@ -524,6 +558,12 @@
 					target.expired = true
 				}
 			},
+			"foreign entry": func(*rapid.T) { c.writeForeign(c.targets[c.pick("target", len(c.targets))]) },
+			"overwrite entry": func(*rapid.T) {
+				if t := c.targets[c.pick("target", len(c.targets))]; t.running {
+					c.overwrite(t)
+				}
+			},
 			"restart target": func(*rapid.T) {
 				target := c.targets[c.pick("target", len(c.targets))]
 				if !target.running {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -58,9 +57,12 @@
 	// configs are the most recent configurations.
 	configs       ConfigHistory
 	droppedRoutes map[forward.Endpoint]struct{}
-	targets       map[string]*incarnation
-	// byAddress contains the newest incarnation at each address.
-	byAddress map[netip.AddrPort]*incarnation
+	// services contains the names of the configuration's services.
+	services map[string]struct{}
+	targets  map[string]*incarnation
+	// unconfigured contains the entries whose service the configuration does not have, by id. They have no effect until a
+	// configuration has it.
+	unconfigured map[string]receivedRecord
 	// previous contains incarnations that were replaced, by token.
 	previous map[forward.Token]*incarnation
 	zonesOut map[core.ZoneName]Revision
@@ -88,7 +90,7 @@
 	// removed is true when the entry no longer exists, removedAt is when it was removed or replaced.
 	removed   bool
 	removedAt time.Duration
-	// replaced is true when a later incarnation has the same id or address.
+	// replaced is true when a later incarnation has the same id.
 	replaced bool
 	// observed is true once a VM has observed that the process ended. observedAt is the time of the newest
 	// observation. exited is true if that observation showed that the process has ended, and false if it
@@ -118,8 +120,9 @@
 		limits:         limits,
 		unreadable:     map[string]time.Duration{},
 		droppedRoutes:  map[forward.Endpoint]struct{}{},
+		services:       map[string]struct{}{},
 		targets:        map[string]*incarnation{},
-		byAddress:      map[netip.AddrPort]*incarnation{},
+		unconfigured:   map[string]receivedRecord{},
 		previous:       map[forward.Token]*incarnation{},
 		zonesOut:       map[core.ZoneName]Revision{},
 		held:           map[heldKey]heldRecord{},
@@ -291,6 +294,10 @@
 			_, ok := listed[id]
 			return !ok
 		})
+		maps.DeleteFunc(r.unconfigured, func(id string, _ receivedRecord) bool {
+			_, ok := listed[id]
+			return !ok
+		})
 		for id, inc := range r.targets {
 			switch _, ok := listed[id]; {
 			case ok:
@@ -351,10 +358,18 @@
 			}
 		}
 	}
+	first := r.config == nil
 	r.config, r.configRevision = rec.Config, rec.Revision
 	r.configs.Add(rec.Config)
 	change.Event = "configuration in force"
-	return append(changes, change)
+	clear(r.services)
+	for i := range rec.Config.Services {
+		r.services[rec.Config.Services[i].Name] = struct{}{}
+	}
+	if first {
+		r.removeUnconfigured()
+	}
+	return r.applyConfigured(append(changes, change))
 }
 
 func (r *Registry) applyZone(changes []Change, rec *Record, asOf Revision, at time.Duration) []Change {
--- a/core/registry/restored.go
+++ b/core/registry/restored.go
@@ -102,7 +102,7 @@
 func (r *Registry) applyRestoredTarget(changes []Change, rec *Record, at time.Duration) []Change {
 	inc := r.targets[rec.Name]
 	switch {
-	case inc == nil || rec.Target == nil || rec.Target.StartMillis > inc.target.StartMillis:
+	case inc == nil || rec.Target == nil || !r.configured(rec.Target.Service) || rec.Target.StartMillis > inc.target.StartMillis:
 		return r.applyTarget(changes, rec, at)
 	case rec.Target.StartMillis < inc.target.StartMillis:
 		// The copy has an earlier incarnation; the present one counts as missing.
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -30,13 +29,15 @@
 		UnreadableEntries: r.recentlyUnreadable(now),
 	}
 	services := r.addRoutes(snapshot)
+	owners := r.addressOwners()
 	for _, inc := range r.previous {
 		if r.successor(inc) == nil {
-			r.addTarget(snapshot, nil, inc, now)
+			r.addTarget(snapshot, nil, inc, nil, now)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
-		r.addTarget(snapshot, services, r.targets[id], now)
+		inc := r.targets[id]
+		r.addTarget(snapshot, services, inc, owners[inc.target.Addr], now)
 	}
 	r.addAliases(snapshot)
 	for _, h := range r.held {
@@ -67,22 +68,27 @@
 func (r *Registry) discardOld(now time.Duration) {
 	maps.DeleteFunc(r.previous, func(_ forward.Token, inc *incarnation) bool { return inc.discardable(now) })
 	maps.DeleteFunc(r.targets, func(_ string, inc *incarnation) bool { return inc.discardable(now) })
-	maps.DeleteFunc(r.byAddress, func(_ netip.AddrPort, inc *incarnation) bool { return inc.discardable(now) })
 }
 
 // scheduleSnapshot makes a new snapshot due at the given time, unless one is due earlier.
 func (r *Registry) scheduleSnapshot(at time.Duration) { r.nextSnapshot = min(r.nextSnapshot, at) }
 
-// recentlyUnreadable returns the number of unreadable entries whose targets may be running. A running target
-// writes its entry again with each heartbeat, so an older unreadable entry does not count.
+// recentlyUnreadable returns the number of entries without usable content whose targets may be running. A running target
+// writes its entry again with each heartbeat, so an older one does not count.
 func (r *Registry) recentlyUnreadable(now time.Duration) int {
 	n := 0
-	for _, at := range r.unreadable {
+	count := func(at time.Duration) {
 		if end := at + entryReturnTime; now < end {
 			r.scheduleSnapshot(end)
 			n++
 		}
 	}
+	for _, at := range r.unreadable {
+		count(at)
+	}
+	for _, u := range r.unconfigured {
+		count(u.at)
+	}
 	return n
 }
 
@@ -136,9 +142,9 @@
 	})
 }
 
-// addTarget adds a target to a snapshot and to the pools of its service.
-func (r *Registry) addTarget(snapshot *forward.Snapshot, services map[string]*forward.Service, inc *incarnation, now time.Duration) {
-	condition, nextChange := inc.condition(now)
+// addTarget adds a target to a snapshot and to the pools of its service. owner is the target that started last at its address.
+func (r *Registry) addTarget(snapshot *forward.Snapshot, services map[string]*forward.Service, inc, owner *incarnation, now time.Duration) {
+	condition, nextChange := r.condition(inc, owner, now)
 	if nextChange > 0 {
 		r.scheduleSnapshot(nextChange)
 	}
--- a/core/registry/target.go
+++ b/core/registry/target.go
@@ -1,19 +1,36 @@
 package registry
 
 import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/mangoweir/mangoweir/core/forward"
 )
 
+// receivedRecord is a record with the time at which the store sent it.
+type receivedRecord struct {
+	record Record
+	at     time.Duration
+}
+
+// applyTarget applies the entry of a target. An entry of a service that the configuration does not have may be another
+// writer's: it names no target, and must not affect those that have the same id or address. It is kept until a configuration
+// has the service.
 func (r *Registry) applyTarget(changes []Change, rec *Record, at time.Duration) []Change {
 	inc := r.targets[rec.Name]
 	// A removal has either the revision of the object's last change or a new one.
 	if inc != nil && (rec.Revision.Before(inc.revision) || rec.Revision == inc.revision && !rec.Removed) {
 		return changes
 	}
+	if u, ok := r.unconfigured[rec.Name]; ok && inc == nil && rec.Revision.Before(u.record.Revision) {
+		return changes
+	}
 	change := Change{Kind: Targets, Name: rec.Name, Revision: rec.Revision}
 	delete(r.unreadable, rec.Name)
+	delete(r.unconfigured, rec.Name)
 	switch {
 	case rec.Removed:
 		if inc == nil || inc.removed {
@@ -30,36 +47,94 @@
 		if inc != nil {
 			inc.unusable, inc.revision = true, rec.Revision
 		}
-	case inc == nil || inc.target.StartMillis != rec.Target.StartMillis:
-		r.retire(inc, at)
-		inc = &incarnation{id: rec.Name, token: forward.NewToken(rec.Name, rec.Target.StartMillis)}
-		r.targets[rec.Name] = inc
-		change.Event = "added"
-		inc.update(rec, at)
-		change.Detail = r.retireAtAddress(inc, at)
+	case !r.configured(rec.Target.Service):
+		r.unconfigured[rec.Name] = receivedRecord{*rec, at}
+		if inc != nil {
+			inc.unusable, inc.revision = true, rec.Revision
+		}
+		change.Event, change.Detail = "entry without a known service", "no service "+rec.Target.Service+" in the configuration"
 	default:
-		change.Event = inc.changeEvent(rec.Target)
-		inc.update(rec, at)
+		change.Event = r.setEntry(inc, rec, at)
 	}
 	return append(changes, change)
 }
 
-// retireAtAddress retires the incarnation that had the address of a new target before: the platform assigns an
-// address again only after its target has ended. It returns the Detail of the change, or "".
-func (r *Registry) retireAtAddress(inc *incarnation, at time.Duration) string {
-	old := r.byAddress[inc.target.Addr]
-	if old != nil && old.id != inc.id && old.target.StartMillis >= inc.target.StartMillis {
-		// Packets to the address reach the later one, which drops those that name another target.
-		inc.unusable = inc.unusable || !old.removed
-		return "a target that started later has the same address"
+// configured reports whether the configuration has a service. Entries that are read before the first configuration are sorted
+// out when that arrives.
+func (r *Registry) configured(service string) bool {
+	_, ok := r.services[service]
+	return ok || r.config == nil
+}
+
+// removeUnconfigured takes the entries without a known service out of the targets, after the first configuration.
+func (r *Registry) removeUnconfigured() {
+	at := r.confirmed[Targets]
+	for id, inc := range r.targets {
+		if inc.unusable || r.configured(inc.target.Service) {
+			continue
+		}
+		delete(r.targets, id)
+		if !inc.removed {
+			r.unconfigured[id] = receivedRecord{inc.export(at), at}
+		}
 	}
-	r.byAddress[inc.target.Addr] = inc
-	if old == nil || old.id == inc.id || r.targets[old.id] != old {
-		return ""
+}
+
+// applyConfigured applies the entries whose service the configuration has now.
+func (r *Registry) applyConfigured(changes []Change) []Change {
+	for _, id := range slices.Sorted(maps.Keys(r.unconfigured)) {
+		u := r.unconfigured[id]
+		if !r.configured(u.record.Target.Service) {
+			continue
+		}
+		delete(r.unconfigured, id)
+		event := r.setEntry(r.targets[id], &u.record, u.at)
+		changes = append(changes, Change{Kind: Targets, Name: id, Revision: u.record.Revision, Event: event})
 	}
-	delete(r.targets, old.id)
-	r.retire(old, at)
-	return "has the address of " + old.id
+	return changes
+}
+
+// setEntry makes an entry that of its target and returns the Event of the change. inc is the target's present incarnation, or nil.
+func (r *Registry) setEntry(inc *incarnation, rec *Record, at time.Duration) string {
+	event := "added"
+	if inc == nil || inc.target.StartMillis != rec.Target.StartMillis {
+		r.retire(inc, at)
+		inc = &incarnation{id: rec.Name, token: forward.NewToken(rec.Name, rec.Target.StartMillis)}
+		r.targets[rec.Name] = inc
+	} else {
+		event = inc.changeEvent(rec.Target)
+	}
+	inc.update(rec, at)
+	return event
+}
+
+// addressOwners returns the target that started last at each address that several targets have. The platform assigns an address
+// again only after its target has ended, so that new flows belong to the last one. The others may still run: that a target has
+// ended is shown by its own entry or by observations, not by the entry of another one.
+func (r *Registry) addressOwners() map[netip.AddrPort]*incarnation {
+	owners := make(map[netip.AddrPort]*incarnation, len(r.targets))
+	for _, inc := range r.targets {
+		if inc.removed || inc.unusable || !r.configured(inc.target.Service) {
+			continue
+		}
+		addr := inc.target.Addr
+		if other := owners[addr]; other == nil || inc.startedAfter(other) {
+			owners[addr] = inc
+		}
+	}
+	return owners
+}
+
+// lostAddress reports whether a target that started later has the address. Two entries with the same number are those of one
+// process, which accepts the packets of both.
+func (inc *incarnation) lostAddress(owner *incarnation) bool {
+	return owner != nil && owner != inc && owner.target.NumericID != inc.target.NumericID && owner.startedAfter(inc)
+}
+
+// startedAfter reports whether the target started later than another one. The id decides if both started at the same time, so
+// that all VMs have the same result.
+func (inc *incarnation) startedAfter(other *incarnation) bool {
+	return cmp.Or(cmp.Compare(inc.target.StartMillis, other.target.StartMillis), cmp.Compare(inc.id, other.id)) > 0
 }
 
 // retire marks an incarnation as replaced and keeps it in previous.
@@ -106,10 +181,11 @@
 	}
 }
 
-// condition returns the target's condition and the time at which it changes; 0 for never.
-func (inc *incarnation) condition(now time.Duration) (forward.Condition, time.Duration) {
+// condition returns the target's condition and the time at which it changes; 0 for never. owner is the target that started last
+// at the same address, or nil.
+func (r *Registry) condition(inc, owner *incarnation, now time.Duration) (forward.Condition, time.Duration) {
 	switch {
-	case inc.replaced:
+	case inc.replaced || inc.removed && inc.lostAddress(owner):
 		return forward.Gone, inc.removedAt + goneRetention
 	case inc.removed && inc.target.Draining:
 		if end := inc.removedAt + forward.DrainExitDelay; now < end {
@@ -129,10 +205,12 @@
 			return forward.Expired, end
 		}
 		return forward.Gone, inc.removedAt + goneRetention
-	case inc.unusable:
+	case inc.unusable || !r.configured(inc.target.Service):
 		return forward.Unusable, 0
 	case inc.target.Draining:
 		return forward.Draining, 0
+	case inc.lostAddress(owner):
+		return forward.Unusable, 0
 	default:
 		return forward.Ready, 0
 	}
