forward: let packets name the target instead of its incarnation

Cause: the token in a packet named the incarnation that the placing VM knew. Later VMs needed an alias for it, which neither the store nor the feed has, so that it ended with the VMs that had seen that incarnation.

Change: the token is a hash of the target's id. A target checks only its id, and resets the flows of its earlier incarnations itself. What VMs observe of a target stays by incarnation. Of two targets with one token the one that started first keeps it; before, a new target could take the packets of a running one.

--- a/core/forward/decision.go
+++ b/core/forward/decision.go
@@ -9,7 +9,7 @@
 const (
 	// Drop sends nothing.
 	Drop Action = iota
-	// Forward sends the packet to Decision.Target, after its token was written into the packet.
+	// Forward sends the packet to Decision.Target, after its FlowToken was written into the packet.
 	Forward
 	// Reset sends a reset to the client.
 	Reset
--- a/core/forward/flows.go
+++ b/core/forward/flows.go
@@ -9,8 +9,8 @@
 type flowState struct {
 	load  *load
 	route *routeLoad
-	// target is the flow's target in the snapshot with the number snapshotNumber. token names the target that
-	// load belongs to.
+	// target is the flow's target in the snapshot with the number snapshotNumber, found by the token of its last packet; nil
+	// before the first packet after a SYN.
 	target *Target
 	// since is the time of the first packet with an unknown token while unknown is true, and otherwise the
 	// time of the SYN or of the request's first packet.
@@ -124,12 +124,12 @@
 }
 
 // attach adds the flow to the counts of a target and a route.
-func (s *flowState) attach(l *load, route *routeLoad, token Token) {
+func (s *flowState) attach(l *load, route *routeLoad) {
 	if s.load == l {
 		return
 	}
 	s.detach()
-	s.load, s.route, s.token = l, route, token
+	s.load, s.route = l, route
 	l.open++
 }
 
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -142,11 +142,11 @@
 		state = f.flows.add(h.Flow)
 		state.ack = h.Ack
 	}
-	if state.load == nil || state.token != t.Token {
+	if state.load == nil || state.load.token != t.Token {
 		state.unknown = false
-		state.attach(f.load(t.Token), f.routeLoad(h.Flow.Service), t.Token)
+		state.attach(f.load(t.Token), f.routeLoad(h.Flow.Service))
 	}
-	state.target, state.snapshotNumber = t, f.snapshotNumber
+	state.target, state.token, state.snapshotNumber = t, h.Token, f.snapshotNumber
 	return state
 }
 
@@ -194,7 +194,7 @@
 	first := f.flows.get(header.Flow)
 	if first != nil && first.synPending && header.Ack > 0 {
 		f.addEvidence(first.load, synEvidence, now)
-		f.requestProbe(&decision, first.load, f.snapshot.Targets[first.token], now)
+		f.requestProbe(&decision, first.load, f.snapshot.Targets[first.load.token], now)
 	}
 	load := f.routeLoad(header.Flow.Service)
 	f.expirePending(load, now)
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -56,7 +56,7 @@
 	if state == nil {
 		state = f.flows.add(flow)
 	}
-	state.attach(f.load(target.Token), f.routeLoad(flow.Service), target.Token)
+	state.attach(f.load(target.Token), f.routeLoad(flow.Service))
 	state.setWaiting(true, now)
 	state.seq, state.ack = 0, 0
 }
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -22,7 +22,7 @@
 func (f *Forwarder) place(service *Service, first *flowState, now time.Duration) (*Target, Reason) {
 	var avoid Token
 	if first != nil && first.synPending {
-		avoid = first.token
+		avoid = first.load.token
 	}
 	local := f.best(service.Local, avoid, now)
 	remote := f.best(service.Remote, avoid, now)
--- a/core/forward/reach.go
+++ b/core/forward/reach.go
@@ -45,7 +45,7 @@
 	if first == nil || !first.synPending || copies == 0 {
 		return
 	}
-	if t := f.snapshot.Targets[first.token]; t != nil && t.Zone != f.zone {
+	if t := f.snapshot.Targets[first.load.token]; t != nil && t.Zone != f.zone {
 		f.reach.addUnopened(now)
 	}
 }
--- a/core/forward/snapshot.go
+++ b/core/forward/snapshot.go
@@ -43,9 +43,10 @@
 	Zone      core.ZoneName
 	Service   string
 	// Slots is the number of requests that the target processes at a time.
-	Slots     int
-	Token     Token
-	Condition Condition
+	Slots int
+	// Token is the token of the incarnation, FlowToken the one that this VM writes into the packets of its flows.
+	Token, FlowToken Token
+	Condition        Condition
 	// Listed is true while the store has an entry of the target.
 	Listed bool
 	// ColdUntil is the end of the target's cold start, until which its new flows are limited.
@@ -106,7 +107,9 @@
 	Routes        map[Endpoint]*Route
 	// DroppedRoutes are the addresses of routes that an earlier configuration had and this one lacks.
 	DroppedRoutes map[Endpoint]struct{}
-	Targets       map[Token]*Target
+	// Targets contains each target under the token of its incarnation, and under the other tokens that packets of its flows
+	// may carry.
+	Targets map[Token]*Target
 	// UnreadableEntries is the number of undecodable entries whose targets may be running.
 	UnreadableEntries int
 	// ZoneVMs is the number of VMs of this zone; 0 when this VM does not know them.
@@ -125,7 +128,7 @@
 func (s *Snapshot) SameZoneTargets(t *Target) []*Target {
 	var all []*Target
 	for token, other := range s.Targets {
-		// A token that differs from other.Token is the token of a previous incarnation.
+		// A token that differs from other.Token is another one that names the same target.
 		if other.Token == token && other.ID != t.ID && other.Zone == t.Zone && (other.Condition == Ready || other.Condition == Expired) {
 			if all = append(all, other); len(all) == maxSameZoneTargets {
 				break
--- a/core/registry/property_test.go
+++ b/core/registry/property_test.go
@@ -460,7 +460,7 @@
 	if c.inContact(v) {
 		c.countFlow(t)
 	}
-	f.target, f.startMillis, f.token = t, t.rec.Target.StartMillis, d.Target.Token
+	f.target, f.startMillis, f.token = t, t.rec.Target.StartMillis, d.Target.FlowToken
 	c.flows = append(c.flows, f)
 	v.forwarder.Handle(&forward.Header{Flow: f.key, Flags: forward.ACK, Token: f.token, Ack: 1}, c.now)
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -29,6 +29,9 @@
 	ColdOverage, ColdSlack float64
 	// Heartbeat is the interval at which targets renew their entries.
 	Heartbeat time.Duration
+	// WriteIncarnationTokens makes the VM write the tokens of incarnations into packets, for an upgrade from releases that know no
+	// others.
+	WriteIncarnationTokens bool
 }
 
 // Registry is a VM's copy of the store's objects.
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -32,12 +32,18 @@
 	owners := r.addressOwners()
 	for _, inc := range r.previous {
 		if r.successor(inc) == nil {
-			r.addTarget(snapshot, nil, inc, nil, now)
+			r.addTarget(snapshot, inc, nil, now)
 		}
 	}
+	// In the order of their starts: a target that starts must not get the packets of a running one with the same token.
+	for _, inc := range slices.SortedFunc(maps.Values(r.targets), (*incarnation).compareStart) {
+		r.addTarget(snapshot, inc, owners[inc.target.Addr], now)
+	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
 		inc := r.targets[id]
-		r.addTarget(snapshot, services, inc, owners[inc.target.Addr], now)
+		if t := snapshot.Targets[inc.token]; t != nil && t.ID == id && services[t.Service] != nil {
+			r.addToPool(services[t.Service], t, inc.ejectedUntil, now)
+		}
 	}
 	r.addAliases(snapshot)
 	for _, h := range r.held {
@@ -46,9 +52,9 @@
 	return snapshot
 }
 
-// addAliases maps the tokens of previous incarnations to the current incarnation with the same id. A VM that
-// had not received the new incarnation yet may have placed flows on it under the old token, since a target
-// checks only its id in a packet. The target itself resets the flows that ended with the previous incarnation.
+// addAliases maps the tokens of previous incarnations to the current incarnation with the same id. VMs with an earlier
+// release, or with WriteIncarnationTokens, place flows under them, also after the target has restarted and before they have
+// received that. The target itself resets the flows that ended with the previous incarnation.
 func (r *Registry) addAliases(snapshot *forward.Snapshot) {
 	for token, inc := range r.previous {
 		next := r.successor(inc)
@@ -142,8 +148,9 @@
 	})
 }
 
-// addTarget adds a target to a snapshot and to the pools of its service. owner is the target that started last at its address.
-func (r *Registry) addTarget(snapshot *forward.Snapshot, services map[string]*forward.Service, inc, owner *incarnation, now time.Duration) {
+// addTarget adds a target to a snapshot, unless another one that is in use has the same token. owner is the target that started
+// last at its address.
+func (r *Registry) addTarget(snapshot *forward.Snapshot, inc, owner *incarnation, now time.Duration) {
 	condition, nextChange := r.condition(inc, owner, now)
 	if nextChange > 0 {
 		r.scheduleSnapshot(nextChange)
@@ -152,16 +159,16 @@
 		ID: inc.id, NumericID: inc.target.NumericID, Addr: inc.target.Addr, Zone: inc.target.Zone, Service: inc.target.Service,
 		Slots: inc.target.Slots, Token: inc.token, Condition: condition, Listed: !inc.removed, ColdUntil: r.coldUntil(inc, now),
 	}
-	if other := snapshot.Targets[inc.token]; other != nil {
-		// Two incarnations have the same token. The one in use keeps the token, and the other gets no flows.
-		if other.Condition != forward.Gone && other.Condition != forward.Exited {
+	name := forward.NewTargetToken(inc.id)
+	if t.FlowToken = name; r.limits.WriteIncarnationTokens {
+		t.FlowToken = inc.token
+	}
+	for _, token := range []forward.Token{name, inc.token} {
+		if other := snapshot.Targets[token]; other != nil && other.Condition != forward.Gone && other.Condition != forward.Exited {
 			return
 		}
 	}
-	snapshot.Targets[inc.token] = t
-	if s := services[t.Service]; s != nil {
-		r.addToPool(s, t, inc.ejectedUntil, now)
-	}
+	snapshot.Targets[name], snapshot.Targets[inc.token] = t, t
 }
 
 // coldUntil returns the end of a target's cold start: the latest according to its entry, an observation and
--- a/core/registry/target.go
+++ b/core/registry/target.go
@@ -131,10 +131,12 @@
 	return owner != nil && owner != inc && owner.target.NumericID != inc.target.NumericID && owner.startedAfter(inc)
 }
 
-// startedAfter reports whether the target started later than another one. The id decides if both started at the same time, so
-// that all VMs have the same result.
-func (inc *incarnation) startedAfter(other *incarnation) bool {
-	return cmp.Or(cmp.Compare(inc.target.StartMillis, other.target.StartMillis), cmp.Compare(inc.id, other.id)) > 0
+func (inc *incarnation) startedAfter(other *incarnation) bool { return inc.compareStart(other) > 0 }
+
+// compareStart orders targets by their starts. The id decides if two started at the same time, so that all VMs have the same
+// order.
+func (inc *incarnation) compareStart(other *incarnation) int {
+	return cmp.Or(cmp.Compare(inc.target.StartMillis, other.target.StartMillis), cmp.Compare(inc.id, other.id))
 }
 
 // retire marks an incarnation as replaced and keeps it in previous.
--- a/internal/cli/forward.go
+++ b/internal/cli/forward.go
@@ -25,8 +25,20 @@
 		Example: "  mangoweir forward",
 		Args:    cobra.NoArgs,
 	}
+	var incarnationTokens bool
+	cmd.Flags().BoolVar(&incarnationTokens, "incarnation-tokens", false,
+		"write the tokens of targets' incarnations into packets, while VMs run a release that knows no others (default: those of targets)")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return forwarder.Run(cmd.Context(), usersPlatform(platform.SettingsPath()), cmd.OutOrStdout())
+		p := usersPlatform(platform.SettingsPath())
+		load := p.LoadSettings
+		p.LoadSettings = func() (*forwarder.Settings, error) {
+			settings, err := load()
+			if err == nil {
+				settings.Limits.WriteIncarnationTokens = incarnationTokens
+			}
+			return settings, err
+		}
+		return forwarder.Run(cmd.Context(), p, cmd.OutOrStdout())
 	}
 	return cmd
 }
--- a/internal/forwarder/traffic.go
+++ b/internal/forwarder/traffic.go
@@ -108,7 +108,7 @@
 	decision := t.forwarder.Handle(header, now)
 	switch decision.Action {
 	case forward.Forward:
-		t.format.SetTarget(frame, decision.Target.NumericID, decision.Target.Token)
+		t.format.SetTarget(frame, decision.Target.NumericID, decision.Target.FlowToken)
 		_, err := t.conn.WriteToUDPAddrPort(frame, decision.Target.Addr)
 		t.countSendError("forward", err)
 	case forward.Reset:
