registry: forget that a target has ended when nobody renews the observation

Cause: an observation that a VM takes over ended only with an event that the VM might never hear of.

Change: VMs renew the observation each second while they make it; heartbeats of the feed carry the renewals. Without renewal flows are forwarded again after 3 s, below the stability window, and new ones are placed after 4 heartbeats of targets, when the store has removed the entry of a target that has ended. A removal in that time confirms the end. Results of connection attempts that waited in a paused process do not count.

--- a/core/forward/snapshot.go
+++ b/core/forward/snapshot.go
@@ -19,7 +19,8 @@
 	Expired
 	// Draining allows packets of open flows only.
 	Draining
-	// Unusable allows packets of open flows only, because the target's entry cannot be decoded.
+	// Unusable allows packets of open flows only: the target's entry has no usable content, a later target has its address, or
+	// it may have ended.
 	Unusable
 	// Gone allows no packets: the target was removed or replaced, and its flows are reset while the snapshot
 	// is fresh.
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -74,6 +74,9 @@
 	// returningZones contains the zones that were taken back into service a short time ago.
 	returningZones map[core.ZoneName]zoneReturn
 
+	// forgotten contains the targets that no longer count as ended, for the log.
+	forgotten []string
+
 	// self is this VM, members are the VMs of its zone; empty when they are not known.
 	self         forward.VMID
 	members      []forward.VMID
@@ -100,6 +103,11 @@
 	// showed that the process runs again.
 	observed, exited bool
 	observedAt       time.Duration
+	// endConfirmed is true if the entry was removed while the target counted as ended. renewed is true if the observation was
+	// renewed since it was last sent to other VMs.
+	endConfirmed, renewed bool
+	// forgotten is true once the observation that the process ended is no longer in force.
+	forgotten bool
 	// ejectedUntil is the end of the target's ejection.
 	ejectedUntil time.Duration
 	// lostFrom is the time from which the flows of a process that has ended are reset.
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -37,6 +37,7 @@
 	}
 	// In the order of their starts: a target that starts must not get the packets of a running one with the same token.
 	for _, inc := range slices.SortedFunc(maps.Values(r.targets), (*incarnation).compareStart) {
+		r.forgetEnd(inc, now)
 		r.addTarget(snapshot, inc, owners[inc.target.Addr], now)
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
--- a/core/registry/target.go
+++ b/core/registry/target.go
@@ -37,6 +37,7 @@
 			return changes
 		}
 		inc.removed, inc.removedAt, inc.revision = true, at, rec.Revision
+		inc.endConfirmed = inc.ended(at)
 		change.Event = "removed"
 		if inc.target.Draining {
 			change.Detail = "was draining"
@@ -162,7 +163,7 @@
 // update replaces the entry of the incarnation by a newer one.
 func (inc *incarnation) update(rec *Record, at time.Duration) {
 	inc.target, inc.revision = *rec.Target, rec.Revision
-	inc.unusable, inc.removed = false, false
+	inc.unusable, inc.removed, inc.endConfirmed = false, false, false
 	inc.coldUntil = 0
 	if rec.Target.ColdRemaining > 0 {
 		inc.coldUntil = at + rec.Target.ColdRemaining
@@ -194,14 +195,14 @@
 			return forward.Draining, end
 		}
 		return forward.Gone, inc.removedAt + goneRetention
-	case inc.exited && !inc.target.Draining:
+	case inc.ended(now) && !inc.target.Draining:
 		if now < inc.lostFrom {
 			return forward.Draining, inc.lostFrom
 		}
-		if inc.removed {
+		if inc.endConfirmed {
 			return forward.Exited, inc.removedAt + goneRetention
 		}
-		return forward.Exited, 0
+		return forward.Exited, inc.observedAt + observationTTL
 	case inc.removed:
 		if end := inc.removedAt + entryReturnTime; now < end {
 			return forward.Expired, end
@@ -213,6 +214,8 @@
 		return forward.Draining, 0
 	case inc.lostAddress(owner):
 		return forward.Unusable, 0
+	case now < r.doubtfulUntil(inc):
+		return forward.Unusable, r.doubtfulUntil(inc)
 	default:
 		return forward.Ready, 0
 	}
--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -152,8 +152,15 @@
 	c.watcher.setTargets(targets)
 }
 
+// maxResultAge is the age from which a refused connection is ignored: this process was paused, and the target may run again. The
+// watcher tries again within maxWatchRetry.
+const maxResultAge = 500 * time.Millisecond
+
 // handleConnection handles the result of a connection attempt to a target.
 func (c *control) handleConnection(result connectionResult) {
+	if result.refused && time.Since(result.at) > maxResultAge {
+		return
+	}
 	now := c.shared.clock.now()
 	observation, changed := c.registry.ObserveConnection(result.target, result.refused, now)
 	transition, counter := "returned", c.metrics.returned
@@ -247,6 +254,9 @@
 	c.shared.heldRecords.Store(int64(c.registry.HeldRecords()))
 	if snapshot := c.registry.Snapshot(now); snapshot != nil {
 		c.shared.snapshot.Store(snapshot)
+		for _, id := range c.registry.TakeForgotten() {
+			c.log.Info("a target no longer counts as ended: the observation was not renewed", "target", id)
+		}
 		if c.snapshot == nil {
 			close(c.shared.complete)
 			defer c.sendAwaitedStates()
@@ -414,9 +424,9 @@
 	return &feed.Members{Zone: c.settings.Zone, VMs: members}
 }
 
-// heartbeat sends the subscribers a message, with the members of the zone if these have changed.
+// heartbeat sends the subscribers a message, with the members of the zone if these have changed, and renewed observations.
 func (c *control) heartbeat() {
-	var message feed.Message
+	message := feed.Message{Observations: c.registry.Renewals(c.shared.clock.now())}
 	if members := c.zoneMembers(); members != nil && !slices.Equal(members.VMs, c.sentMembers) {
 		message.Members, c.sentMembers = members, members.VMs
 	}
--- a/internal/forwarder/control_test.go
+++ b/internal/forwarder/control_test.go
@@ -105,6 +105,37 @@
 	}
 }
 
+// Guards against subscribers that forget the end of a target while this VM still observes it, and against an old result of a
+// connection attempt that counts after a pause of the process.
+func TestRenewedObservationsAreSentToSubscribers(t *testing.T) {
+	c, subscriber := testControl(t)
+	target := &forward.Target{ID: "i-1", Token: forward.NewToken("i-1", 1000)}
+	now := c.shared.clock.now()
+	c.registry.Apply(registry.Update{Kind: registry.Targets, AsOf: rev(7), Records: []registry.Record{{
+		Name: "i-1", Revision: rev(7), Target: &registry.Target{StartMillis: 1000, Addr: netip.MustParseAddrPort("10.0.0.1:80")},
+	}}}, now)
+	c.handleConnection(connectionResult{target: target, refused: true, at: time.Now().Add(-2 * maxResultAge)})
+	if n := len(c.registry.Observations(now)); n != 0 {
+		t.Fatalf("%d observations by an old result, want 0", n)
+	}
+	c.registry.ApplyObservation(registry.Observation{ID: "i-1", Token: target.Token, Ended: true, Age: 2 * time.Second}, now)
+	c.handleConnection(connectionResult{target: target, refused: true, at: time.Now()})
+	c.heartbeat()
+	for {
+		var m feedpb.Message
+		if err := protodelim.UnmarshalFrom(subscriber, &m); err != nil {
+			t.Fatalf("the subscriber got no renewal: %v", err)
+		}
+		if len(m.Observations) == 0 {
+			continue
+		}
+		if o := m.Observations[0]; !o.Ended || o.AgeMillis > 1000 {
+			t.Errorf("renewal with ended %v and age %d ms", o.Ended, o.AgeMillis)
+		}
+		return
+	}
+}
+
 // Guards against failures of targets that two VMs which borrow from each other exchange endlessly, and against
 // reports that do not reach the zone's reader.
 func TestFailuresAreSentTowardsTheReader(t *testing.T) {
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -39,6 +39,8 @@
 	target *forward.Target
 	// refused is true when the target's machine refused the connection.
 	refused bool
+	// at is when the attempt ended.
+	at time.Time
 	// previousAge is the age at which the connection before this one ended, or 0.
 	previousAge time.Duration
 	err         error
@@ -154,7 +156,7 @@
 	}
 	if err == nil || refused {
 		select {
-		case w.results <- connectionResult{target: t, refused: refused, previousAge: before.age, err: err}:
+		case w.results <- connectionResult{target: t, refused: refused, at: time.Now(), previousAge: before.age, err: err}:
 		case <-ctx.Done():
 		}
 	}
