--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,8 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/contract
 	$(GO) test -run '^$$' -fuzz FuzzDecodePacket -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzOddObject -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzLimit -fuzztime $(FUZZTIME) ./internal/jsondepth
 	$(GO) test -run '^$$' -fuzz FuzzDecodeSettings -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzDecodeRequest -fuzztime $(FUZZTIME) ./internal/carrier
 	$(GO) test -run '^$$' -fuzz FuzzDecodeAnswer -fuzztime $(FUZZTIME) ./internal/carrier
