--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -106,8 +106,8 @@
 // handleOpenFlow decides about a packet of an open flow.
 func (f *Forwarder) handleOpenFlow(header *Header, now time.Duration) Decision {
 	state := f.flows.get(header.Flow)
-	if state == nil || state.snapshotNumber != f.snapshotNumber || state.token != header.Token {
-		// This is the flow's first packet under this snapshot.
+	if state == nil || state.target == nil || state.snapshotNumber != f.snapshotNumber || state.token != header.Token {
+		// This is the flow's first packet under this snapshot, or its target is not known.
 		if _, dropped := f.snapshot.DroppedRoutes[header.Flow.Service]; dropped {
 			f.removeFlow(header.Flow)
 			return Decision{Action: Reset, Reason: RouteDropped}
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -274,3 +274,16 @@
 		t.Errorf("the targets count %d flows, the table has %d", open, n)
 	}
 }
+
+// Guards against the end of the process by packets of an unknown flow before the first snapshot, which no client should send.
+func TestPacketsBeforeFirstSnapshot(t *testing.T) {
+	convey.Convey("Packets without a token are dropped while there is no snapshot, also when they are repeated", t, func() {
+		f := New(zoneA, 1)
+		for i := range 3 {
+			for _, flags := range []Flags{FIN | ACK, ACK, RST} {
+				h := &Header{Flow: testFlow(1), Flags: flags, Length: uint16(i)}
+				convey.So(f.Handle(h, time.Duration(i)*200*time.Millisecond).Action, convey.ShouldEqual, Drop)
+			}
+		}
+	})
+}
