forward: forget the target of an earlier flow when its port is used again

Cause: a SYN left the target of the state of the earlier flow in place. Since packets name targets by their own token, the next packet no longer finds it, but late packets of the earlier flow counted as load of the new target.

Change: a SYN removes the target from the state.

--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -287,3 +287,28 @@
 		}
 	})
 }
+
+// Guards against packets of a new flow at the target of an earlier one with the same addresses and ports.
+func TestReusedPort(t *testing.T) {
+	convey.Convey("Given an open flow whose client opens another one from the same port", t, func() {
+		snapshot := testSnapshot(1)
+		f := testForwarder(snapshot)
+		local, remote := snapshot.service().Local[0], snapshot.service().Remote[0]
+		convey.So(f.Handle(syn(testFlow(1), 0), 0).Target, convey.ShouldEqual, local)
+		f.Handle(data(testFlow(1), local.Token, 100, 5), time.Millisecond)
+		snapshot.service().Local = nil
+		convey.So(f.Handle(syn(testFlow(1), 0), time.Second).Target, convey.ShouldEqual, remote)
+		convey.Convey("its packets go to its own target", func() {
+			d := f.Handle(data(testFlow(1), remote.Token, 100, 5), time.Second)
+			convey.So(d.Target, convey.ShouldEqual, remote)
+			convey.So(f.loads[local.Token].open, convey.ShouldEqual, 0)
+			convey.So(f.loads[remote.Token].open, convey.ShouldEqual, 1)
+		})
+		convey.Convey("late packets of the earlier one go to the earlier target, and count as its load", func() {
+			d := f.Handle(data(testFlow(1), local.Token, 100, 5), time.Second)
+			convey.So(d.Target, convey.ShouldEqual, local)
+			convey.So(f.loads[local.Token].open, convey.ShouldEqual, 1)
+			convey.So(f.loads[remote.Token].open, convey.ShouldEqual, 0)
+		})
+	})
+}
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -58,6 +58,8 @@
 	}
 	state.attach(f.load(target.Token), f.routeLoad(flow.Service))
 	state.setWaiting(true, now)
+	// An earlier flow with the same addresses and ports may have had another target.
+	state.target = nil
 	state.seq, state.ack = 0, 0
 }
 
