feed: do not delay a read because of an outage that is over

Cause: the flag that delays reads after an outage, when readers return, stayed set if the feed was back before the next call.

Change: reads are delayed only if no source of updates has confirmed all kinds since the failed call.

--- a/internal/feed/refresh.go
+++ b/internal/feed/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,8 @@
 
 // keepCurrent reads kinds from the store that no source of updates has confirmed for refreshAfter, until ctx ends.
 func (s *Source) keepCurrent(ctx context.Context) {
-	served := true
+	// failedAt is when the store did not serve this VM last, 0 if it has served it since.
+	var failedAt time.Duration
 	for {
 		if !sleep(ctx, s.untilRefresh()+rand.N(refreshJitter)) {
 			return
@@ -33,16 +35,16 @@
 			continue
 		}
 		if !s.storeServes(ctx) {
-			served = false
+			failedAt = s.Now()
 			sleep(ctx, randomBackoff())
 			continue
 		}
-		if !served {
+		if failedAt > 0 && !s.confirmedSince(failedAt) {
 			// After an outage the readers return within this time, and other VMs need not read.
-			served = true
 			sleep(ctx, readerRecoveryTime)
 			kinds = s.outdated()
 		}
+		failedAt = 0
 		var wg sync.WaitGroup
 		for _, kind := range kinds {
 			wg.Go(func() {
@@ -56,6 +58,13 @@
 	}
 }
 
+// confirmedSince reports whether a source of updates has confirmed all kinds since a time.
+func (s *Source) confirmedSince(at time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Min(s.confirmedAt[:]) > at
+}
+
 // untilRefresh returns the time until the first kind is due to be read, unless it is confirmed before.
 func (s *Source) untilRefresh() time.Duration {
 	s.mu.Lock()
--- a/internal/feed/refresh_test.go
+++ b/internal/feed/refresh_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,3 +94,61 @@
 		await(revision, bound)
 	}
 }
+
+// interruptedStore is a store that serves no call while it is down, and records the times of watches.
+type interruptedStore struct {
+	lostReadersStore
+
+	down    atomic.Bool
+	watches chan time.Time
+}
+
+func (s *interruptedStore) Reader(ctx context.Context, zone core.ZoneName, staleOK bool) (Reader, error) {
+	if s.down.Load() {
+		return Reader{}, errors.New("down")
+	}
+	return s.lostReadersStore.Reader(ctx, zone, staleOK)
+}
+
+func (s *interruptedStore) Watch(ctx context.Context, kind registry.Kind, after registry.Revision, wait time.Duration) (registry.Update, error) {
+	select {
+	case s.watches <- time.Now():
+	default:
+	}
+	return s.lostReadersStore.Watch(ctx, kind, after, wait)
+}
+
+// Guards against a read that waits for the recovery of readers because of an earlier outage, although the feed has been back
+// since: a change would be in force after 3.3 s.
+func TestReadAfterEarlierOutageIsNotDelayed(t *testing.T) {
+	const bound = 3 * time.Second
+	store := &interruptedStore{watches: make(chan time.Time, 1)}
+	store.revision = 1
+	s := testSource(store, make(chan Event, 1000))
+	for kind := range s.asOf {
+		s.asOf[kind] = rev(1)
+	}
+	confirm := func() {
+		now := s.Now()
+		s.recordConfirmations([registry.NumKinds]time.Duration{now, now, now})
+	}
+	store.down.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.keepCurrent(ctx)
+	// The first calls fail at once, as nothing was confirmed. Then the feed is back.
+	time.Sleep(refreshJitter + 50*time.Millisecond)
+	confirm()
+	store.down.Store(false)
+	time.Sleep(maxBackoff + refreshJitter + 50*time.Millisecond)
+	confirm()
+	confirmed := time.Now()
+	select {
+	case at := <-store.watches:
+		if age := at.Sub(confirmed); age < refreshAfter || age >= bound {
+			t.Errorf("read %s after the last confirmation, want %s to %s", age, refreshAfter, bound)
+		}
+	case <-time.After(2 * bound):
+		t.Error("the kinds were not read")
+	}
+}
