feed: deliver messages while the store does not answer

Cause: a subscriber looked up the reader in the store between two messages, and waited for the response.

Change: the lookup runs beside the subscription.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -227,11 +227,13 @@
 // served this VM for readerRecoveryTime.
 func (s *Source) receive(ctx context.Context, subscription *feedConn, fromReader bool) (end feedEnd) {
 	defer subscription.close()
-	// lastTry is when this VM last called the store while the reader's data was not fresh, servedSince is when
-	// the store first responded to such a call. 0 means never.
-	var lastTry, servedSince time.Duration
+	// servedSince is when the store first responded to a call of this VM while the reader's data was not fresh; 0 means never.
+	var servedSince time.Duration
+	fresh := false
+	// A store that does not answer must not delay messages: what other VMs observe matters most then.
+	lookup := readerLookup{source: s, results: make(chan lookupResult, 1)}
 	if !fromReader {
-		lastTry = s.Now()
+		lookup.startedAt = s.Now()
 	}
 	for {
 		var message Message
@@ -246,6 +248,20 @@
 			}
 			message = decodeMessage(pb)
 			message.addDelay(subscription.delay.delay(message.SentAt, s.Now()))
+		case result := <-lookup.results:
+			lookup.running = false
+			switch {
+			case result.err != nil:
+				s.Log.Info("the store does not serve this VM", "peer", subscription.address, "error", result.err)
+			case !fromReader:
+				return end
+			case result.reader.VM != s.lastReader().VM:
+				end.lookUpReader = true
+				return end
+			case !fresh:
+				servedSince = s.Now()
+			}
+			continue
 		case <-s.wake:
 			s.sendSubscribeIfDue(subscription)
 			continue
@@ -261,7 +277,7 @@
 		}
 		s.sendSubscribeIfDue(subscription)
 		s.discardOtherHistories(&message)
-		fresh := message.Ages != nil && slices.Max(message.Ages) < storeLostAfter && message.StoreFailing < storeFailingAfter
+		fresh = message.Ages != nil && slices.Max(message.Ages) < storeLostAfter && message.StoreFailing < storeFailingAfter
 		if !end.fresh && (fresh || fromReader) {
 			role := Subscribed
 			if !fromReader {
@@ -273,37 +289,47 @@
 		if slices.ContainsFunc(message.Updates, func(u registry.Update) bool { return u.Kind == registry.Configs }) {
 			s.acknowledge(subscription)
 		}
-		now := s.Now()
 		switch {
 		case fresh:
 			end.fresh, servedSince = true, 0
-			if !fromReader && now-lastTry > storeRetryInterval {
-				lastTry = now
-				if s.storeServes(ctx) {
-					return end
-				}
+			if !fromReader {
+				lookup.startIfDue(ctx)
 			}
 		case !fromReader:
 			return end
-		case servedSince > 0 && now-servedSince > readerRecoveryTime:
+		case servedSince > 0 && s.Now()-servedSince > readerRecoveryTime:
 			s.sendState(Searching, subscription.address, "the store serves this VM, but does not confirm the reader's data")
 			return end
-		case servedSince == 0 && now-lastTry > storeRetryInterval:
-			lastTry = now
-			r, err := s.lookUpReader(ctx)
-			if err != nil {
-				s.Log.Info("the reader cannot reach the store, and neither can this VM", "error", err)
-				continue
-			}
-			if r.VM != s.lastReader().VM {
-				end.lookUpReader = true
-				return end
-			}
-			servedSince = s.Now()
+		case servedSince == 0:
+			lookup.startIfDue(ctx)
 		}
 	}
 }
 
+// readerLookup looks up the zone's reader beside a subscription, at most once in storeRetryInterval.
+type readerLookup struct {
+	source    *Source
+	startedAt time.Duration
+	running   bool
+	results   chan lookupResult
+}
+
+type lookupResult struct {
+	reader Reader
+	err    error
+}
+
+// startIfDue starts a lookup, whose result is sent to results, unless one is running or was started a short time ago.
+func (l *readerLookup) startIfDue(ctx context.Context) {
+	if now := l.source.Now(); !l.running && now-l.startedAt > storeRetryInterval {
+		l.running, l.startedAt = true, now
+		go func() {
+			reader, err := l.source.lookUpReader(ctx)
+			l.results <- lookupResult{reader, err}
+		}()
+	}
+}
+
 // storeServes reports whether the store serves this VM.
 func (s *Source) storeServes(ctx context.Context) bool {
 	if _, err := s.lookUpReader(ctx); err != nil {
--- a/internal/feed/follow_test.go
+++ b/internal/feed/follow_test.go
@@ -1,10 +1,12 @@
 package feed
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/core/registry"
 )
 
@@ -74,6 +76,34 @@
 	}
 }
 
+// silentStore is a store that answers no call.
+type silentStore struct{ Store }
+
+func (silentStore) Reader(ctx context.Context, _ core.ZoneName, _ bool) (Reader, error) {
+	<-ctx.Done()
+	return Reader{}, ctx.Err()
+}
+
+// Guards against observations of other VMs that arrive late because this VM waits for a store that does not answer: the
+// subscribers of a reader learned of a target's restart 0.54 s late (soak seed 2009).
+func TestMessagesArriveWhileStoreIsSilent(t *testing.T) {
+	age := 2 * storeLostAfter
+	observation := registry.Observation{ID: "i-1", Token: 1, Ended: true}
+	server := feedOf(t, Message{Ages: []time.Duration{age, age, age}, Observations: []registry.Observation{observation}})
+	events := make(chan Event, 1000)
+	s := testSource(silentStore{}, events)
+	s.setReader(Reader{VM: "vm-1", Address: server.Addr()})
+	go s.follow(t.Context(), server.Addr())
+	for received := 0; received < 3; {
+		select {
+		case e := <-events:
+			received += len(e.Observations)
+		case <-time.After(time.Second):
+			t.Fatalf("%d of 3 observations arrive, one each 50 ms", received)
+		}
+	}
+}
+
 // Guards against a VM that receives the feed of another zone's VM for good after a short fault of the store, and is
 // then no member of its own zone.
 func TestBorrowerReturnsToItsZone(t *testing.T) {
