soak: write readable entries of other writers

Two thirds of these events now write an entry of an unknown service with the address of a running target, under a name of its own or under the target's id.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,7 +32,7 @@
 	Compact             Kind = "compact"    // the history is dropped
 	StoreRestored       Kind = "restored"   // the store is down, and returns from an earlier copy
 	Expire              Kind = "lapse"      // entries expire while the store is busy, and are written again
-	InvalidEntry        Kind = "odd-entry"  // another writer adds an entry that cannot be decoded
+	InvalidEntry        Kind = "odd-entry"  // another writer writes an entry that names no target
 	Drain               Kind = "drain"      // a target drains and ends
 	Crash               Kind = "crash"      // a target ends without a drain
 	Restart             Kind = "restart"    // a target ends and starts again with the same id, cold
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -136,7 +136,7 @@
 	case Expire:
 		r.expireEntries(event)
 	case InvalidEntry:
-		r.Store.PutRaw("servers", fmt.Sprintf("i-%x", 0x9000+event.Pick), []byte(`{"service":"desk","address":7,"state":"asleep"}`))
+		r.writeForeignEntry(event)
 	case Drain, Crash, Restart, AddTarget:
 		r.changeTarget(event)
 	case ZoneOut:
@@ -148,6 +148,20 @@
 	}
 }
 
+// writeForeignEntry writes an entry of another writer: an unreadable one, or one of a service that no configuration has, which has
+// the address of a running target, under a name of its own or in place of the target's entry.
+func (r *run) writeForeignEntry(event Event) {
+	target := r.Targets()[event.Pick%len(r.Targets())]
+	switch {
+	case event.Pick%3 == 0 && target.Alive():
+		target.WriteForeignEntry(fmt.Sprintf("sidecar-%x", 0x9000+event.Pick))
+	case event.Pick%3 == 1 && target.Alive():
+		target.WriteForeignEntry(target.ID)
+	default:
+		r.Store.PutRaw("servers", fmt.Sprintf("i-%x", 0x9000+event.Pick), []byte(`{"service":"desk","address":7,"state":"asleep"}`))
+	}
+}
+
 // storeFault sets a fault of the store for the duration of the event.
 func (r *run) storeFault(event Event) {
 	faults := map[Kind]objects.Faults{
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -183,6 +183,15 @@
 	t.fleet.Store.Renew(t.ID, time.Now().Add(3*Heartbeat))
 }
 
+// WriteForeignEntry writes an entry of another writer with the target's address, of a service that no configuration has, under a
+// name, which may be the target's id.
+func (t *Target) WriteForeignEntry(name string) {
+	t.fleet.Store.Put(kindTargets, name, map[string]any{
+		"service": "sidecar", "address": t.addr.String(), "zone": t.Zone, "version": "v1", "slots": 4,
+		"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": time.Now().Add(time.Hour).UnixMilli(),
+	})
+}
+
 func (t *Target) receive(conn *net.UDPConn) {
 	b := make([]byte, maxFrame+1)
 	for {
