registry: take a repeated entry without a known service for no news

A list that repeated such an entry logged it again, delayed the reset of unknown flows by 2.5 s once more, and let its target's cold start begin anew. The log no longer told that two targets have one address.

Change: an entry with a known revision is ignored. The lines about a target name the other one at its address.

Evidence: two cases of TestEntryOfLaterService and TestTargetsAtOneAddress failed before.

--- a/core/registry/foreign_test.go
+++ b/core/registry/foreign_test.go
@@ -132,6 +132,13 @@
 			convey.So(snapshot.Routes[endpoint(deskAddr)].Backends[1].Service.Cold[0].ColdUntil, convey.ShouldEqual, 3*time.Second)
 			convey.So(len(backend(r.Snapshot(3*time.Second), 1)), convey.ShouldEqual, 2)
 		})
+		convey.Convey("a list that repeats it is no news, and makes it no colder", func() {
+			repeated := targetRecord("i-3", 11).with(func(t *Target) { t.Service, t.ColdRemaining = "counter", 2*time.Second })
+			other := targetRecord("i-2", 4).with(func(t *Target) { t.Service = "counter" })
+			convey.So(r.Apply(full(Targets, 12, targetRecord("i-1", 3), other, repeated), 2*time.Second), convey.ShouldBeEmpty)
+			r.Apply(changed(Configs, 13, config(2, 13, "desk", "counter")), 2*time.Second)
+			convey.So(r.targets["i-3"].coldUntil, convey.ShouldEqual, 3*time.Second)
+		})
 		convey.Convey("a list without it removes it", func() {
 			r.Apply(full(Targets, 12, targetRecord("i-1", 3)), time.Second)
 			r.Apply(changed(Configs, 13, config(2, 13, "desk", "counter")), 2*time.Second)
@@ -162,7 +169,7 @@
 		addr := targetRecord("i-1", 1).Target.Addr
 		later := targetRecord("i-3", 11).with(func(t *Target) { t.Addr, t.StartMillis = addr, 3000 })
 		r := testRegistry(targetRecord("i-1", 3), targetRecord("i-2", 4))
-		r.Apply(changed(Targets, 11, later), time.Second)
+		convey.So(r.Apply(changed(Targets, 11, later), time.Second)[0].Detail, convey.ShouldEqual, "has the address of i-1")
 		condition := func(at time.Duration) forward.Condition {
 			c, _ := conditionOf(rebuild(r, at), "i-1", 1000)
 			return c
--- a/core/registry/target.go
+++ b/core/registry/target.go
@@ -24,7 +24,7 @@
 	if inc != nil && (rec.Revision.Before(inc.revision) || rec.Revision == inc.revision && !rec.Removed) {
 		return changes
 	}
-	if u, ok := r.unconfigured[rec.Name]; ok && inc == nil && rec.Revision.Before(u.record.Revision) {
+	if u, ok := r.unconfigured[rec.Name]; ok && (rec.Revision.Before(u.record.Revision) || rec.Revision == u.record.Revision && !rec.Removed) {
 		return changes
 	}
 	change := Change{Kind: Targets, Name: rec.Name, Revision: rec.Revision}
@@ -55,6 +55,7 @@
 		change.Event, change.Detail = "entry without a known service", "no service "+rec.Target.Service+" in the configuration"
 	default:
 		change.Event = r.setEntry(inc, rec, at)
+		change.Detail = r.sharedAddress(rec.Name)
 	}
 	return append(changes, change)
 }
@@ -90,7 +91,7 @@
 		}
 		delete(r.unconfigured, id)
 		event := r.setEntry(r.targets[id], &u.record, u.at)
-		changes = append(changes, Change{Kind: Targets, Name: id, Revision: u.record.Revision, Event: event})
+		changes = append(changes, Change{Kind: Targets, Name: id, Revision: u.record.Revision, Event: event, Detail: r.sharedAddress(id)})
 	}
 	return changes
 }
@@ -144,6 +145,20 @@
 	return owner
 }
 
+// sharedAddress returns the Detail of the change of a target that has the address of another one, or "".
+func (r *Registry) sharedAddress(id string) string {
+	inc := r.targets[id]
+	if owner := r.addressOwner(inc); owner != nil && owner != inc {
+		return owner.id + ", which started later, has the same address"
+	}
+	for _, other := range r.byAddress[inc.target.Addr] {
+		if other != inc && !other.removed {
+			return "has the address of " + other.id
+		}
+	}
+	return ""
+}
+
 // lostAddress reports whether a target that started later has the address. Two entries with the same number are those of one
 // process, which accepts the packets of both.
 func (inc *incarnation) lostAddress(owner *incarnation) bool {
