--- /dev/null
+++ b/core/targetload/types.go
@@ -0,0 +1,51 @@
+// Package targetload estimates what requests cost and how much work each target has, from the response times that all VMs of a zone
+// observe.
+package targetload
+
+import "time"
+
+// ID is the token of an incarnation of a target.
+type ID uint32
+
+// Report is what a VM observed of a target in an interval.
+type Report struct {
+	ID ID
+	// Responses is the number of responses, Rejected the number of requests that the target turned away because it was full.
+	Responses, Rejected uint32
+	// Took is the sum of the response times, Work the sum of the times that the requests take at a target without a queue,
+	// rejected ones included. UrgentWork is the part of Work of the most urgent routes.
+	Took, Work, UrgentWork time.Duration
+}
+
+// Group is what a Pool needs to know about a target that may get new flows.
+type Group struct {
+	Service string
+	Slots   int
+}
+
+// Groups are the targets that may get new flows.
+type Groups map[ID]Group
+
+// TargetLoad is the load of one target.
+type TargetLoad struct {
+	ID ID
+	// Slowness is the response time of the target's requests as a multiple of their work; 1 for a target without a queue that
+	// is as fast as others.
+	Slowness float64
+}
+
+// ServiceLoad is the load of the targets of a service.
+type ServiceLoad struct {
+	Service string
+	// Slowness is the median of the targets, Rejected the share of the requests that were rejected.
+	Slowness, Rejected float64
+	// Slots is the number of slots of the targets, UrgentSlots the mean number that the requests of the most urgent routes
+	// occupy or would have occupied.
+	Slots, UrgentSlots float64
+}
+
+// Summary is the load of the targets of a zone that differs from that of an idle service.
+type Summary struct {
+	Targets  []TargetLoad
+	Services []ServiceLoad
+}
