core/targetload: shared load of targets from the reports of a zone's VMs

Cause: a VM compares targets by its own outstanding requests. With 30 VMs in a zone that is close to random selection, and slow or full targets get as many flows as others (docs/load.md, 2.3).

--- /dev/null
+++ b/core/targetload/summary.go
@@ -0,0 +1,147 @@
+package targetload
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// rejectionWork is what a rejection counts as, as a multiple of the mean work of its service; about what a full queue
+	// (8 requests behind 2 in work) would take.
+	rejectionWork = 10
+	// recentReports is the time after which a target has no recent reports. VMs report once per second when nothing is slow.
+	recentReports = 1500 * time.Millisecond
+	// slownessHalfLife is that of the difference between a target without recent reports and its service: a recovered target is
+	// to be used again within 5 s.
+	slownessHalfLife = 2 * time.Second
+	// slowTarget is the ratio of the slowness of a target to that of its service from which it is listed.
+	slowTarget = 1.5
+	// recentRejections is the decayed number of rejections from which a target is listed: one within 1.6 s.
+	recentRejections = 0.1
+	// maxSlowTargets is the number of targets in a summary: about 0.7 KB every 250 ms.
+	maxSlowTargets = 64
+	// maxSlowness bounds slowness against absurd reports; weights do not differ above 8.
+	maxSlowness = 1000
+)
+
+// member is a target with reports, at the time of a summary.
+type member struct {
+	id       ID
+	sums     sums
+	age      time.Duration // since its last report
+	slowness float64       // 0 when unknown
+}
+
+// service is what the targets of a service report together.
+type service struct {
+	members  []member
+	total    sums
+	recent   bool    // whether a target has recent reports
+	slowness float64 // median, 1 when unknown
+}
+
+// Summarize returns the load of the targets of groups at now. It forgets targets that are not among them. Groups must not be
+// modified after the call; a change needs another map.
+func (p *Pool) Summarize(groups Groups, now time.Duration) Summary {
+	slots := p.serviceSlots(groups)
+	var summary Summary
+	for name, s := range p.services(groups, now) {
+		s.settle()
+		for _, m := range s.members {
+			if m.slowness > slowTarget*s.slowness || m.slowness > 0 && m.sums.rejected >= recentRejections {
+				summary.Targets = append(summary.Targets, TargetLoad{ID: m.id, Slowness: m.slowness})
+			}
+		}
+		if s.recent {
+			summary.Services = append(summary.Services, s.load(name, slots[name]))
+		}
+	}
+	slices.SortFunc(summary.Targets, func(a, b TargetLoad) int {
+		return cmp.Or(cmp.Compare(b.Slowness, a.Slowness), cmp.Compare(a.ID, b.ID))
+	})
+	if len(summary.Targets) > maxSlowTargets {
+		summary.Targets = slices.Clip(summary.Targets[:maxSlowTargets])
+	}
+	slices.SortFunc(summary.Services, func(a, b ServiceLoad) int { return cmp.Compare(a.Service, b.Service) })
+	return summary
+}
+
+// services groups the targets with reports by their service.
+func (p *Pool) services(groups Groups, now time.Duration) map[string]*service {
+	services := make(map[string]*service)
+	for id, sums := range p.targets {
+		group, ok := groups[id]
+		if !ok {
+			p.unknown++
+		}
+		age := max(now-sums.at, 0)
+		if !ok || age > forgetAfter {
+			delete(p.targets, id)
+			continue
+		}
+		s := services[group.Service]
+		if s == nil {
+			s = &service{}
+			services[group.Service] = s
+		}
+		m := member{id: id, sums: sums.decayed(now), age: age}
+		s.members = append(s.members, m)
+		s.recent = s.recent || age <= recentReports
+		s.total.responses += m.sums.responses
+		s.total.rejected += m.sums.rejected
+		s.total.work += m.sums.work
+		s.total.urgentWork += m.sums.urgentWork
+	}
+	return services
+}
+
+// settle computes the slowness of a service and of its members.
+func (s *service) settle() {
+	var penalty float64 // seconds
+	if requests := s.total.responses + s.total.rejected; requests > 0 {
+		penalty = rejectionWork * s.total.work / requests
+	}
+	known := make([]float64, 0, len(s.members))
+	for i := range s.members {
+		m := &s.members[i]
+		if m.sums.work <= 0 {
+			continue
+		}
+		m.slowness = min((m.sums.took+m.sums.rejected*penalty)/m.sums.work, maxSlowness)
+		if m.age <= recentReports && m.slowness > 0 {
+			known = append(known, m.slowness)
+		}
+	}
+	s.slowness = median(known)
+	for i := range s.members {
+		m := &s.members[i]
+		if m.slowness > 0 && m.age > recentReports {
+			m.slowness = s.slowness + (m.slowness-s.slowness)*decay(m.age-recentReports, slownessHalfLife)
+		}
+	}
+}
+
+func (s *service) load(name string, slots float64) ServiceLoad {
+	// A sum that grows by r per second and decays comes to r x half-life / ln 2.
+	load := ServiceLoad{Service: name, Slowness: s.slowness, Slots: slots,
+		UrgentSlots: s.total.urgentWork * math.Ln2 / urgentHalfLife.Seconds()}
+	if requests := s.total.responses + s.total.rejected; requests > 0 {
+		load.Rejected = s.total.rejected / requests
+	}
+	return load
+}
+
+// median returns the median of values, which it sorts, and 1 when there are none.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 1
+	}
+	slices.Sort(values)
+	mid := len(values) / 2
+	if len(values)%2 == 1 {
+		return values[mid]
+	}
+	return (values[mid-1] + values[mid]) / 2
+}
