forward: place flows by the load that the VMs of a zone know together

Cause: a VM compares targets by the requests that wait at this VM, which with 30 VMs a zone is close to a random choice, and flows leave a zone only when three wait for each target. Short responses of full targets count as failures, so that a quarter of a service is ejected while capacity is short. In half a second the median target got 13 new flows and some got 82.

Change: targets are sampled with weights from the zone's summary; a flow leaves its zone with a probability that rises with the difference of the expected response times. A short response of a loaded target is a rejection: it is reported as such, the VM avoids the target for a queue's time, and it does not count for ejection. Less urgent flows are kept off reserved targets and give way as the admission policy says. Without a summary and a policy nothing changes.

--- a/core/forward/decision.go
+++ b/core/forward/decision.go
@@ -50,13 +50,15 @@
 	// Overloaded means that the route's targets take so long to respond that the flow would miss the route's
 	// latency objective and delay others.
 	Overloaded
+	// LessUrgent means that the service is short of capacity and the flow's route gives way to more urgent ones.
+	LessUrgent
 )
 
 // reasonNames are the names of reasons in logs and metrics.
 var reasonNames = [...]string{
 	"placed", "placed-again", "on-flow", "no-view", "no-route", "route-dropped", "no-target", "target-gone",
 	"target-silent", "unknown-token", "not-from-client", "cold-limit",
-	"overloaded",
+	"overloaded", "less-urgent",
 }
 
 // NumReasons is the number of reasons.
--- a/core/forward/failures.go
+++ b/core/forward/failures.go
@@ -33,10 +33,15 @@
 	return min(max(overdueFactor*time.Duration(r.responseTime.value), minOverdue), maxOverdue)
 }
 
-// failed reports whether a response looks like an error. size is the amount of data that the client acknowledged
-// first.
+// short reports whether a response is much shorter than the route's others. size is the amount of data that the client
+// acknowledged first.
+func (r *routeLoad) short(size uint32) bool {
+	return float64(size) < shortResponse*r.responseSize.value
+}
+
+// failed reports whether a response looks like an error.
 func (r *routeLoad) failed(size uint32, responseTime time.Duration) bool {
-	return float64(size) < shortResponse*r.responseSize.value && float64(responseTime) < fastResponse*r.responseTime.value
+	return r.short(size) && float64(responseTime) < fastResponse*r.responseTime.value
 }
 
 // addFailure counts a failure of a target.
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -32,6 +32,7 @@
 	failing           []*load
 	nextFailureReport time.Duration
 	events            Events
+	shared            sharedLoad
 }
 
 // Events counts what a Forwarder observed since it started.
@@ -200,6 +201,7 @@
 		f.requestProbe(&decision, first.load, f.snapshot.Targets[first.load.token], now)
 	}
 	load := f.routeLoad(header.Flow.Service)
+	load.urgent = route.Urgent
 	f.expirePending(load, now)
 	if first == nil && !load.limit.allows(load.waiting, header.Ack) {
 		// Clients that are refused try again at once, three times in all, and most would fail within some
@@ -210,8 +212,11 @@
 	if service == nil {
 		return f.refuse(header, now, NoTarget)
 	}
+	if first == nil && !f.admits(route, service, now) {
+		return Decision{Reason: LessUrgent}
+	}
 	f.trackReach(service, first, header.Ack, now)
-	decision.Target, decision.Reason = f.place(service, first, now)
+	decision.Target, decision.Reason = f.place(service, f.newFlow(route, service, load, first, now), now)
 	switch {
 	case decision.Target == nil && decision.Reason == ColdLimit && f.coldBudgetAllowsCopy(service, now):
 		return decision
--- a/core/forward/liveness.go
+++ b/core/forward/liveness.go
@@ -98,7 +98,7 @@
 		for i := range route.Backends {
 			s := route.Backends[i].Service
 			for _, pool := range [][]*Target{s.Local, s.Remote} {
-				if c := f.best(pool, t.Token, now); c.target != nil && !c.suspected {
+				if c := f.best(pool, newFlow{avoid: t.Token, urgent: true}, now); c.target != nil && !c.suspected {
 					return c.target
 				}
 			}
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -39,6 +39,8 @@
 	lostFrom time.Duration
 	// coldFlows are the target's last new flows under the cold budget.
 	coldFlows coldFlows
+	// fullUntil is the time until which the target is avoided after it has rejected a request because it was full.
+	fullUntil time.Duration
 }
 
 func (f *Forwarder) load(token Token) *load {
@@ -106,8 +108,14 @@
 // recordResponse updates the statistics and the limit of a route by the first acknowledgement of a response.
 func (f *Forwarder) recordResponse(header *Header, state *flowState, now time.Duration) {
 	r, size, responseTime := state.route, header.Ack-state.ack, now-state.sentAt
-	if r.failed(size, responseTime) {
+	switch {
+	case r.short(size) && f.loaded(state.target, now):
+		f.addRejection(state.load, r, now)
+		return
+	case r.failed(size, responseTime):
 		f.addFailure(state.load)
+	default:
+		f.recordWork(state.load, r, responseTime)
 	}
 	r.responseSize.add(float64(size), median)
 	r.responseTime.add(float64(responseTime), responseQuantile)
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -17,22 +17,17 @@
 	coldShortage = 0.25
 )
 
-// place chooses the target of a new flow. first is the flow's state from an earlier transmission of its SYN, or
-// nil. If there is no target, place returns nil and the reason.
-func (f *Forwarder) place(service *Service, first *flowState, now time.Duration) (*Target, Reason) {
-	var avoid Token
-	if first != nil && first.synPending {
-		avoid = first.load.token
-	}
-	local := f.best(service.Local, avoid, now)
-	remote := f.best(service.Remote, avoid, now)
+// place chooses the target of a new flow. If there is no target, place returns nil and the reason.
+func (f *Forwarder) place(service *Service, flow newFlow, now time.Duration) (*Target, Reason) {
+	local := f.best(service.Local, flow, now)
+	remote := f.best(service.Remote, flow, now)
 	if f.prefersCold(service, local, remote) {
 		if t := f.placeCold(service, now); t != nil {
 			return t, Placed
 		}
 	}
 	switch {
-	case local.target != nil && (remote.target == nil || !local.worseThan(remote)):
+	case local.target != nil && (remote.target == nil || !local.worseThan(remote) && !f.leavesZone(local, remote, flow)):
 		return local.target, Placed
 	case remote.target != nil:
 		return remote.target, Placed
@@ -40,10 +35,10 @@
 	if t := f.placeCold(service, now); t != nil {
 		return t, Placed
 	}
-	if ejected := f.best(service.Ejected, avoid, now); ejected.target != nil {
+	if ejected := f.best(service.Ejected, flow, now); ejected.target != nil {
 		return ejected.target, Placed
 	}
-	if expired := f.best(service.Expired, avoid, now); expired.target != nil {
+	if expired := f.best(service.Expired, flow, now); expired.target != nil {
 		return expired.target, Placed
 	}
 	if len(service.Cold) > 0 {
@@ -58,6 +53,11 @@
 	waiting int
 	// suspected is true for a target that may not answer, or that the flow's first SYN went to.
 	suspected bool
+	// weight is the probability with which the target is considered for the flow, passed over is true if it was not.
+	weight     float64
+	passedOver bool
+	// slowness is the response time of the target as a multiple of the work of its requests.
+	slowness float64
 }
 
 // worseThan reports whether a local candidate is worse than a remote one.
@@ -68,9 +68,10 @@
 	return c.waiting > remote.waiting+remotePenalty
 }
 
-// best returns the best target of a sample: it prefers targets that are not suspected, then the target that the
-// fewest flows wait for, then a random one. A target with the token avoid counts as suspected.
-func (f *Forwarder) best(targets []*Target, avoid Token, now time.Duration) candidate {
+// best returns the best target of a sample: it prefers targets that are not suspected, then those that are not passed over because of
+// their load, then the target that the fewest flows wait for, then a random one. A target with the token flow.avoid counts as
+// suspected.
+func (f *Forwarder) best(targets []*Target, flow newFlow, now time.Duration) candidate {
 	var best candidate
 	n := len(targets)
 	if n == 0 {
@@ -85,7 +86,7 @@
 	}
 	for i := range min(n, sampleSize) {
 		t := targets[(start+i*step)%n]
-		c := candidate{target: t, suspected: t.Token == avoid}
+		c := f.candidate(t, flow, now)
 		if l := f.loads[t.Token]; l != nil {
 			c.waiting = l.waiting
 			c.suspected = c.suspected || now < l.suspectUntil || l.ended(now) || l.silent(now)
@@ -98,8 +99,13 @@
 }
 
 func (c candidate) betterThan(other candidate) bool {
-	if c.suspected != other.suspected {
+	switch {
+	case c.suspected != other.suspected:
 		return other.suspected
+	case c.passedOver != other.passedOver:
+		return other.passedOver
+	case c.passedOver && c.weight != other.weight:
+		return c.weight > other.weight
 	}
 	return c.waiting < other.waiting
 }
@@ -121,10 +127,10 @@
 	return f.random.Float64()*float64(slots.Cold+slots.Local) < float64(slots.Cold)
 }
 
-// busy reports whether the best target of a pool has no free slot, if each VM of the zone has as many flows
+// busy reports whether the best target of a pool has a queue, as far as the VMs of the zone know, or no free slot, if each VM of the zone has as many flows
 // waiting for it as this one.
 func (f *Forwarder) busy(best candidate) bool {
-	return best.target == nil || best.suspected || best.waiting > 0 && best.waiting*f.snapshot.ZoneVMs >= best.target.Slots
+	return best.target == nil || best.suspected || best.slowness > loadedSlowness || best.waiting > 0 && best.waiting*f.snapshot.ZoneVMs >= best.target.Slots
 }
 
 // placeCold returns a cold target whose budget allows one more flow, or nil.
--- a/core/forward/route_load.go
+++ b/core/forward/route_load.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/mangoweir/mangoweir/core/targetload"
 )
 
 const (
@@ -26,6 +28,10 @@
 	// nanoseconds, responseSize the median of the data that clients acknowledge first, in bytes.
 	responseTime, responseSize quantile
 	limit                      concurrencyLimit
+	// work estimates the time that a request takes at a target without a queue.
+	work targetload.WorkEstimator
+	// urgent is true if no route to the same services has a more urgent priority.
+	urgent bool
 }
 
 // pendingFlow is a flow that began to wait at since. It is outdated when the state's since has changed. sentAt is
@@ -75,6 +81,9 @@
 		case p.since < f.movedAt:
 			// Another VM may receive the flow's packets.
 			r.overdue = append(r.overdue, p)
+		case f.loaded(f.snapshot.Targets[p.state.load.token], now):
+			f.addRejection(p.state.load, r, now)
+			r.overdue = append(r.overdue, p)
 		default:
 			f.addFailure(p.state.load)
 			r.overdue = append(r.overdue, p)
--- /dev/null
+++ b/core/forward/shared_load.go
@@ -0,0 +1,130 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/mangoweir/mangoweir/core/admission"
+	"github.com/mangoweir/mangoweir/core/targetload"
+)
+
+const (
+	// loadedSlowness is the slowness above which a target has a queue: a request of average work that waits for one and a half
+	// others takes 2.5 times its work.
+	loadedSlowness = 2.5
+	// minFullTime and maxFullTime bound the time for which a VM avoids a target that has rejected a request. Within it, about as
+	// many requests end as a full queue holds.
+	minFullTime = 100 * time.Millisecond
+	maxFullTime = time.Second
+	// reservedWeight is the weight of reserved targets for flows that are not urgent.
+	reservedWeight = 1.0 / 16
+	// remoteMargin is the part of a route's latency objective by which the response time must be shorter in another zone before a
+	// flow goes there.
+	remoteMargin = 1.0 / 8
+	// maxRemoteShare is the largest probability with which a flow leaves a zone because of its load. The flows that stay show when
+	// the zone has recovered.
+	maxRemoteShare = 0.9
+)
+
+// sharedLoad is what the VMs of a zone know together about the load of targets, and what this VM contributes to it.
+type sharedLoad struct {
+	table     *targetload.Table
+	gate      *admission.Gate
+	collector targetload.Collector
+}
+
+// SetLoad replaces the load of targets and the admission policy of this VM's zone. Both may be nil.
+func (f *Forwarder) SetLoad(table *targetload.Table, gate *admission.Gate) {
+	f.shared.table, f.shared.gate = table, gate
+}
+
+// TakeLoadReports returns what this VM has observed of targets since the last call, and nil if a report is not due yet.
+func (f *Forwarder) TakeLoadReports(now time.Duration) []targetload.Report {
+	return f.shared.collector.Take(now)
+}
+
+// newFlow describes a flow that is to be placed.
+type newFlow struct {
+	// avoid is the token of the target that the flow's first SYN went to, or 0.
+	avoid  Token
+	urgent bool
+	// reserved is the part of the service's targets that is reserved for urgent flows.
+	reserved float64
+	// work is the time that a request of the flow's route takes at a target without a queue; 0 if it is not known.
+	work, latencyObjective time.Duration
+}
+
+// newFlow returns the description of a flow of a route to a service. first is the flow's state from an earlier transmission of its
+// SYN, or nil.
+func (f *Forwarder) newFlow(route *Route, service *Service, r *routeLoad, first *flowState, now time.Duration) newFlow {
+	flow := newFlow{urgent: route.Urgent, work: r.work.Work(), latencyObjective: route.LatencyObjective}
+	if first != nil && first.synPending {
+		flow.avoid = first.load.token
+	}
+	if !flow.urgent {
+		flow.reserved = f.shared.gate.ReservedFraction(service.Name, now)
+	}
+	return flow
+}
+
+// admits reports whether a new flow may be placed now, or gives way to more urgent routes of the service.
+func (f *Forwarder) admits(route *Route, service *Service, now time.Duration) bool {
+	return route.Urgent || f.shared.gate.Admits(service.Name, route.Priority, f.random.Float64(), now)
+}
+
+// candidate returns a target as a candidate for a flow, with its load. Weights are drawn and not compared, because all VMs of a zone
+// have the same table: they would all choose the least loaded target until the next summary.
+func (f *Forwarder) candidate(t *Target, flow newFlow, now time.Duration) candidate {
+	id := targetload.ID(t.Token)
+	c := candidate{
+		target: t, suspected: t.Token == flow.avoid,
+		weight: f.shared.table.Weight(id, t.LoadGroup, now), slowness: f.shared.table.Slowness(id, t.LoadGroup, now),
+	}
+	if flow.reserved > 0 && admission.Reserved(uint32(t.FlowToken), flow.reserved) {
+		c.weight *= reservedWeight
+	}
+	if l := f.loads[t.Token]; l != nil && now < l.fullUntil {
+		c.weight = 0
+	}
+	c.passedOver = c.weight < 1 && f.random.Float64() >= c.weight
+	return c
+}
+
+// leavesZone reports whether a flow goes to another zone, because its targets respond sooner. The probability rises with the
+// difference, so that the VMs of a zone do not all leave it at the same time.
+func (f *Forwarder) leavesZone(local, remote candidate, flow newFlow) bool {
+	if flow.work == 0 || remote.suspected {
+		return false
+	}
+	margin := remoteMargin * float64(flow.latencyObjective)
+	localTime, remoteTime := local.slowness*float64(flow.work), remote.slowness*float64(flow.work)
+	if localTime <= remoteTime+margin {
+		return false
+	}
+	return f.random.Float64() < min((localTime-remoteTime-margin)/localTime, maxRemoteShare)
+}
+
+// loaded reports whether a target has a queue, or the targets of its service in its zone reject requests, as far as the VMs of this
+// zone know. t may be nil.
+func (f *Forwarder) loaded(t *Target, now time.Duration) bool {
+	if t == nil {
+		return false
+	}
+	return f.shared.table.Slowness(targetload.ID(t.Token), t.LoadGroup, now) > loadedSlowness || f.shared.table.Rejected(t.LoadGroup, now) > 0
+}
+
+// recordWork records the response time of a request.
+func (f *Forwarder) recordWork(l *load, r *routeLoad, responseTime time.Duration) {
+	r.work.Add(responseTime)
+	if work := r.work.Work(); work > 0 {
+		f.shared.collector.Finish(targetload.ID(l.token), work, responseTime, r.urgent)
+	}
+}
+
+// addRejection records that a target has rejected a request because it is full. It is no failure: ejecting full targets would take
+// more capacity from a service that is short of it.
+func (f *Forwarder) addRejection(l *load, r *routeLoad, now time.Duration) {
+	l.fullUntil = now + min(max(time.Duration(r.responseTime.value), minFullTime), maxFullTime)
+	if work := r.work.Work(); work > 0 {
+		f.shared.collector.Reject(targetload.ID(l.token), work, r.urgent)
+	}
+}
--- a/core/forward/snapshot.go
+++ b/core/forward/snapshot.go
@@ -52,6 +52,8 @@
 	Listed bool
 	// ColdUntil is the end of the target's cold start, until which its new flows are limited.
 	ColdUntil time.Duration
+	// LoadGroup names the targets that this one is compared with: those of its service in its zone.
+	LoadGroup string
 	// ColdShare is the number of new flows per coldWindow that this VM may give the target while it is cold.
 	ColdShare int
 }
@@ -64,6 +66,11 @@
 	TotalWeight int
 	// MaxResponseTime is the response time above which new flows are limited; 0 means that they are not.
 	MaxResponseTime time.Duration
+	// LatencyObjective is the time in which a request should be answered; 0 means that there is none.
+	LatencyObjective time.Duration
+	// Priority is 0 for the most urgent flows. Urgent is true if no route to the same services has a more urgent priority.
+	Priority int
+	Urgent   bool
 }
 
 // SetLatencyObjective sets the response time above which new flows are limited. urgent is true for routes whose
@@ -74,6 +81,7 @@
 		share = urgentLatencyShare
 	}
 	r.MaxResponseTime = time.Duration(share * float64(objective))
+	r.LatencyObjective, r.Urgent = objective, urgent
 }
 
 // Backend is a service with its share of a route's new flows.
@@ -125,6 +133,9 @@
 	return t != nil && t.Condition == Exited
 }
 
+// LoadGroup returns the LoadGroup of the targets of a service in a zone.
+func LoadGroup(service string, zone core.ZoneName) string { return service + "@" + string(zone) }
+
 // SameZoneTargets returns up to maxSameZoneTargets random other targets of t's zone that are ready or expired.
 func (s *Snapshot) SameZoneTargets(t *Target) []*Target {
 	var all []*Target
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -127,7 +127,7 @@
 		if !ok {
 			continue
 		}
-		route := &forward.Route{Name: configured.Name}
+		route := &forward.Route{Name: configured.Name, Priority: configured.Priority}
 		route.SetLatencyObjective(configured.LatencyObjective, r.config.urgent(configured))
 		for _, b := range configured.Backends {
 			if s := services[b.Service]; s != nil && b.Weight > 0 {
@@ -167,7 +167,7 @@
 	t := &forward.Target{
 		ID: inc.id, NumericID: inc.target.NumericID, Addr: inc.target.Addr, Zone: inc.target.Zone, Service: inc.target.Service,
 		Slots: inc.target.Slots, Token: inc.token, FlowToken: inc.name, Condition: condition, Listed: !inc.removed,
-		ColdUntil: r.coldUntil(inc, now),
+		ColdUntil: r.coldUntil(inc, now), LoadGroup: forward.LoadGroup(inc.target.Service, inc.target.Zone),
 	}
 	if r.limits.WriteIncarnationTokens {
 		t.FlowToken = inc.token
