forward: limit uploads on small links

Cause: a VM with a link of 10 Mbit/s accepted any number of uploads, each with 16 packets in flight, and the packets of all routes waited behind them.

Change: a VM learns which routes have large requests, and places a new flow of these only while the uploads under way queue for 100 ms at most. Others are dropped at the SYN and admitted by a copy, or at another VM.

--- a/core/forward/decision.go
+++ b/core/forward/decision.go
@@ -52,13 +52,15 @@
 	Overloaded
 	// LessUrgent means that the service is short of capacity and the flow's route gives way to more urgent ones.
 	LessUrgent
+	// LinkFull means that the uploads under way fill the VM's link, and that the flow would be another one.
+	LinkFull
 )
 
 // reasonNames are the names of reasons in logs and metrics.
 var reasonNames = [...]string{
 	"placed", "placed-again", "on-flow", "no-view", "no-route", "route-dropped", "no-target", "target-gone",
 	"target-silent", "unknown-token", "not-from-client", "cold-limit",
-	"overloaded", "less-urgent",
+	"overloaded", "less-urgent", "link-full",
 }
 
 // NumReasons is the number of reasons.
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/linkload"
 )
 
 // Forwarder decides about the packets that one VM receives. It belongs to one goroutine.
@@ -33,6 +34,7 @@
 	nextFailureReport time.Duration
 	events            Events
 	shared            sharedLoad
+	link              *linkload.Limiter
 }
 
 // Events counts what a Forwarder observed since it started.
@@ -51,6 +53,7 @@
 		loads:      map[Token]*load{},
 		routeLoads: map[Endpoint]*routeLoad{},
 		answeredAt: map[core.ZoneName]time.Duration{},
+		link:       linkload.New(0),
 	}
 }
 
@@ -212,8 +215,12 @@
 	if service == nil {
 		return f.refuse(header, now, NoTarget)
 	}
-	if first == nil && !f.admits(route, service, now) {
+	switch {
+	case first != nil:
+	case !f.admits(route, service, now):
 		return Decision{Reason: LessUrgent}
+	case !f.linkAdmits(load, now):
+		return Decision{Reason: LinkFull}
 	}
 	f.trackReach(service, first, header.Ack, now)
 	decision.Target, decision.Reason = f.place(service, f.newFlow(route, service, load, first, now), now)
@@ -229,6 +236,7 @@
 	}
 	decision.Action = Forward
 	f.recordSYN(header.Flow, decision.Target, now)
+	f.startUpload(load, header.Flow, now)
 	return decision
 }
 
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -70,6 +70,7 @@
 // and a probe after a retransmission.
 func (f *Forwarder) trackPacket(header *Header, state *flowState, decision *Decision, now time.Duration) {
 	if header.Flags&(FIN|RST) != 0 {
+		state.route.uploads.ended(header.Flow)
 		f.flows.remove(header.Flow)
 		return
 	}
@@ -88,6 +89,8 @@
 		decision.ResponseTime = now - state.since
 		f.recordAnswer(state, now)
 		f.recordResponse(header, state, now)
+		state.route.uploads.answered(state)
+		state.route.uploads.ended(header.Flow)
 		state.setAnswered()
 		state.ack = header.Ack
 		if header.Length == 0 {
@@ -97,11 +100,13 @@
 	case header.Length > 0 && !state.requestPending:
 		state.setWaiting(false, now)
 		state.sentAt, state.seq, state.ack = now, header.Seq, header.Ack
+		state.route.uploads.sentData(header, state, true, now)
 	case header.Length > 0 && header.Seq == state.seq:
 		f.addEvidence(state.load, dataEvidence, now)
 		f.requestProbe(decision, state.load, decision.Target, now)
 	case header.Length > 0:
 		state.sentAt, state.seq = now, header.Seq
+		state.route.uploads.sentData(header, state, false, now)
 	}
 }
 
--- a/core/forward/route_load.go
+++ b/core/forward/route_load.go
@@ -29,7 +29,8 @@
 	responseTime, responseSize quantile
 	limit                      concurrencyLimit
 	// work estimates the time that a request takes at a target without a queue.
-	work targetload.WorkEstimator
+	work    targetload.WorkEstimator
+	uploads uploads
 	// urgent is true if no route to the same services has a more urgent priority.
 	urgent bool
 }
--- a/core/linkload/limiter.go
+++ b/core/linkload/limiter.go
@@ -106,6 +106,9 @@
 	counted bool
 }
 
+// Counted reports whether the upload counts towards the limit. It is false on nil.
+func (u *Upload) Counted() bool { return u != nil && u.counted }
+
 // Sent records a packet of the upload. An upload that had expired counts again.
 func (u *Upload) Sent(now time.Duration) {
 	if u == nil || u.limiter == nil {
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -34,6 +34,8 @@
 	// gcPercent is below Go's default of 100: it saves memory at the cost of processor time, of which little
 	// is needed because the process allocates little once it runs.
 	gcPercent = 50
+	// bitsPerMegabit converts the link capacity of the settings.
+	bitsPerMegabit = 1e6
 )
 
 // ErrSockets reports that a socket cannot be opened at an address of the settings.
@@ -126,13 +128,15 @@
 		Log: telemetry.ComponentLogger(root, "feed"), Now: shared.clock.now, Events: events,
 	})
 	failures := make(chan []forward.TargetFailures, 16)
+	forwarder := forward.New(settings.Zone, rand.Uint64())
+	forwarder.SetLinkCapacity(settings.LinkMbps * bitsPerMegabit)
 	proc := &process{control: ctrl, conn: conn, server: server, events: events, failures: failures}
 	if err := proc.serveHTTP(metrics, settings.HTTPAddr.String()); err != nil {
 		return nil, nil, err
 	}
 	return proc, &traffic{
 		prober: newProber(func() { wakeTraffic(conn, log) }), failures: failures,
-		shared: shared, format: platform.PacketFormat, conn: conn, forwarder: forward.New(settings.Zone, rand.Uint64()),
+		shared: shared, format: platform.PacketFormat, conn: conn, forwarder: forwarder,
 		metrics: newTrafficMetrics(metrics.Set()), log: newFlowLog(telemetry.ComponentLogger(root, "flow")),
 		clientPort: settings.PacketAddr.Port(), startHold: maxStartHold,
 	}, nil
