core/targetload: Summarize keeps its memory between calls

Cause: a profile of a summary of 3,000 targets shows that most of the time goes into growing slices and into collecting them.

Change: the services and their slices are used again. The benchmark lets time pass, so that it includes the decay of the sums. A test guards against services that are measured against each other.

Measured: 0.47 to 0.52 ms and 17 KB per summary, before 0.84 to 1.12 ms and 867 KB (three runs each, on a busy machine).

--- a/core/targetload/bench_test.go
+++ b/core/targetload/bench_test.go
@@ -18,7 +18,7 @@
 	p.Add(all, time.Second)
 	b.ReportAllocs()
 	for b.Loop() {
-		p.Summarize(groups, time.Second)
+		p.Summarize(groups, 1250*time.Millisecond)
 	}
 }
 
--- a/core/targetload/pool.go
+++ b/core/targetload/pool.go
@@ -25,6 +25,8 @@
 type Pool struct {
 	targets            map[ID]*sums
 	malformed, unknown uint64
+	// services are those of the last summary. Their slices are used again, which takes half the time of allocating them.
+	services map[string]*service
 	// groups is the map that slots was computed from.
 	groups    Groups
 	groupsLen int
--- a/core/targetload/pool_test.go
+++ b/core/targetload/pool_test.go
@@ -169,3 +169,26 @@
 		})
 	})
 }
+
+// Guards against services that are measured against each other.
+func TestServicesAreIndependent(t *testing.T) {
+	convey.Convey("A service whose requests are all slow does not hide a slow target of another", t, func() {
+		var p Pool
+		groups := testGroups(20, "desk")
+		for id := range ID(10) {
+			groups[id] = Group{Service: "archive", Slots: 4}
+		}
+		p.Add(reports(10, 8), time.Second)
+		p.Add(reports(20, 1)[10:], time.Second)
+		p.Add([]Report{report(15, 100, 5), {ID: 16, Rejected: 10}}, time.Second)
+		s := p.Summarize(groups, time.Second)
+		convey.So(s.Services, convey.ShouldHaveLength, 2)
+		convey.So(s.Services[0].Service, convey.ShouldEqual, "archive")
+		convey.So(s.Services[0].Slowness, convey.ShouldAlmostEqual, 8, 0.01)
+		convey.So(s.Services[0].Slots, convey.ShouldEqual, 40)
+		convey.So(s.Services[0].Rejected, convey.ShouldEqual, 0)
+		convey.So(s.Services[1].Slowness, convey.ShouldAlmostEqual, 1, 0.01)
+		convey.So(s.Targets, convey.ShouldHaveLength, 2)
+		convey.So([]ID{s.Targets[0].ID, s.Targets[1].ID}, convey.ShouldResemble, []ID{16, 15})
+	})
+}
--- a/core/targetload/summary.go
+++ b/core/targetload/summary.go
@@ -37,6 +37,7 @@
 // service is what the targets of a service report together.
 type service struct {
 	members  []member
+	known    []float64 // slowness of the members with recent reports
 	total    sums
 	recent   bool    // whether a target has recent reports
 	slowness float64 // median, 1 when unknown
@@ -47,7 +48,8 @@
 func (p *Pool) Summarize(groups Groups, now time.Duration) Summary {
 	slots := p.serviceSlots(groups)
 	var summary Summary
-	for name, s := range p.services(groups, now) {
+	p.collect(groups, now)
+	for name, s := range p.services {
 		s.settle()
 		for _, m := range s.members {
 			if m.slowness > slowTarget*s.slowness || m.slowness > 0 && m.sums.rejected >= recentRejections {
@@ -68,9 +70,20 @@
 	return summary
 }
 
-// services groups the targets with reports by their service.
-func (p *Pool) services(groups Groups, now time.Duration) map[string]*service {
-	services := make(map[string]*service)
+// reset removes the members and keeps the memory for as many.
+func (s *service) reset() { *s = service{members: s.members[:0], known: s.known[:0]} }
+
+// collect groups the targets with reports by their service.
+func (p *Pool) collect(groups Groups, now time.Duration) {
+	if p.services == nil {
+		p.services = make(map[string]*service)
+	}
+	for name, s := range p.services {
+		if len(s.members) == 0 {
+			delete(p.services, name)
+		}
+		s.reset()
+	}
 	for id, sums := range p.targets {
 		group, ok := groups[id]
 		if !ok {
@@ -81,10 +94,10 @@
 			delete(p.targets, id)
 			continue
 		}
-		s := services[group.Service]
+		s := p.services[group.Service]
 		if s == nil {
 			s = &service{}
-			services[group.Service] = s
+			p.services[group.Service] = s
 		}
 		m := member{id: id, sums: sums.decayed(now), age: age}
 		s.members = append(s.members, m)
@@ -94,7 +107,6 @@
 		s.total.work += m.sums.work
 		s.total.urgentWork += m.sums.urgentWork
 	}
-	return services
 }
 
 // settle computes the slowness of a service and of its members.
@@ -103,7 +115,6 @@
 	if requests := s.total.responses + s.total.rejected; requests > 0 {
 		penalty = rejectionWork * s.total.work / requests
 	}
-	known := make([]float64, 0, len(s.members))
 	for i := range s.members {
 		m := &s.members[i]
 		if m.sums.work <= 0 {
@@ -111,10 +122,10 @@
 		}
 		m.slowness = min((m.sums.took+m.sums.rejected*penalty)/m.sums.work, maxSlowness)
 		if m.age <= recentReports && m.slowness > 0 {
-			known = append(known, m.slowness)
+			s.known = append(s.known, m.slowness)
 		}
 	}
-	s.slowness = median(known)
+	s.slowness = median(s.known)
 	for i := range s.members {
 		m := &s.members[i]
 		if m.slowness > 0 && m.age > recentReports {
