feed: load reports and load summaries

VMs need the load of targets that other VMs of their zone observe (docs/load.md 3.3). Subscribe carries load reports, Message a summary with slowness, rejections, shares and reservations. Malformed entries are dropped one by one and counted. Source.ReportLoad merges reports by target and sends at most one message per 250 ms with at most 64 reports, so that a VM that relays for 16 others does not send a message for each; reports older than 1 s are discarded. Reports in the first message of a subscription count as well.

The fuzz target of messages was not run by make fuzz; it is now, with FuzzLoad.

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,8 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecodePacket -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzOddObject -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzMessage -fuzztime $(FUZZTIME) ./internal/feed
+	$(GO) test -run '^$$' -fuzz FuzzLoad -fuzztime $(FUZZTIME) ./internal/feed
 	$(GO) test -run '^$$' -fuzz FuzzLimit -fuzztime $(FUZZTIME) ./internal/jsondepth
 	$(GO) test -run '^$$' -fuzz FuzzDecodeSettings -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzDecodeRequest -fuzztime $(FUZZTIME) ./internal/carrier
--- a/internal/feed/delay.go
+++ b/internal/feed/delay.go
@@ -38,6 +38,9 @@
 	for i := range m.ReturnedZones {
 		m.ReturnedZones[i].Age += delay
 	}
+	if m.Load != nil {
+		m.Load.Age += delay
+	}
 	for i := range m.Ejections {
 		m.Ejections[i].Remaining -= delay
 	}
--- a/internal/feed/encode.go
+++ b/internal/feed/encode.go
@@ -39,6 +39,8 @@
 	ReturnedZones []registry.ReturnedZone
 	// StoreFailing is the time since which the store does not serve the sender, a reader; 0 while it does.
 	StoreFailing time.Duration
+	// Load is the newest load of the targets of a zone; nil when the message has none.
+	Load *Load
 	// SentAt is when the message was queued, on the sender's clock; 0 when that is not known.
 	SentAt time.Duration
 	// Redirect is the address of a VM to subscribe to instead; empty when the sender keeps the
@@ -81,7 +83,7 @@
 func (m *Message) encode() *feedpb.Message {
 	pb := &feedpb.Message{
 		ZoneVms: uint32(m.ZoneVMs), Redirect: m.Redirect, StoreFailingMillis: uint32(m.StoreFailing.Milliseconds()),
-		SentMillis: uint64(m.SentAt.Milliseconds()), Eras: encodeEras(m.Eras),
+		SentMillis: uint64(m.SentAt.Milliseconds()), Eras: encodeEras(m.Eras), Load: encodeLoad(m.Load),
 	}
 	for _, age := range m.Ages {
 		pb.AgeMillis = append(pb.AgeMillis, uint32(max(age, 0).Milliseconds()))
@@ -212,7 +214,7 @@
 func decodeMessage(pb *feedpb.Message) Message {
 	message := Message{
 		ZoneVMs: int(pb.ZoneVms), Redirect: pb.Redirect, StoreFailing: time.Duration(pb.StoreFailingMillis) * time.Millisecond,
-		SentAt: time.Duration(pb.SentMillis) * time.Millisecond, Eras: decodeEras(pb.Eras),
+		SentAt: time.Duration(pb.SentMillis) * time.Millisecond, Eras: decodeEras(pb.Eras), Load: decodeLoad(pb.Load),
 	}
 	if len(pb.AgeMillis) == registry.NumKinds {
 		for _, age := range pb.AgeMillis {
--- a/internal/feed/encode_test.go
+++ b/internal/feed/encode_test.go
@@ -44,7 +44,7 @@
 		Eras:    [registry.NumKinds]uint64{3, 3, 2},
 		Ages:    []time.Duration{time.Millisecond, 2 * time.Millisecond, 0},
 		ZoneVMs: 23, Redirect: "10.1.0.10:8166", Members: &Members{Zone: "sfax-medina", VMs: []forward.VMID{1, 0xfedcba98}},
-		StoreFailing: 700 * time.Millisecond, ReturnedZones: []registry.ReturnedZone{{Zone: "zone-a", Age: 800 * time.Millisecond, Revision: inEra(3, 9)}},
+		Load: testLoad(), StoreFailing: 700 * time.Millisecond, ReturnedZones: []registry.ReturnedZone{{Zone: "zone-a", Age: 800 * time.Millisecond, Revision: inEra(3, 9)}},
 		Ejections:    []registry.Ejection{{ID: "i-00000001", Token: 0xfedcba98, Remaining: 1250 * time.Millisecond}},
 		Observations: []registry.Observation{{ID: "i-00000001", Token: 0xfedcba98, Ended: true, Age: 1250 * time.Millisecond}},
 	}
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -133,6 +133,7 @@
 		m.AsOf, m.Eras = append(m.AsOf, asOf.Number), append(m.Eras, asOf.Era)
 	}
 	m.Failures = encodeFailures(s.failures)
+	m.LoadReports = encodeReports(s.load.take(s.sinceStart()))
 	s.downstreamReported, s.failures = true, nil
 	s.mu.Unlock()
 	if err := conn.SetWriteDeadline(time.Now().Add(dialTimeout)); err != nil {
@@ -142,12 +143,12 @@
 	return err
 }
 
-// subscribeDue reports whether there are failures to report, or the VMs downstream have changed since the last
+// subscribeDue reports whether there are failures or loads to report, or the VMs downstream have changed since the last
 // Subscribe message.
 func (s *Source) subscribeDue() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.downstreamReported || len(s.failures) > 0
+	return !s.downstreamReported || len(s.failures) > 0 || s.load.due(s.sinceStart())
 }
 
 func (s *Source) sendSubscribeIfDue(subscription *feedConn) {
@@ -155,7 +156,7 @@
 		return
 	}
 	if err := s.sendSubscribe(subscription.conn); err != nil {
-		s.Log.Info("cannot send the downstream VMs and failures", "address", subscription.address, "error", err)
+		s.Log.Info("cannot send the downstream VMs, failures and loads", "address", subscription.address, "error", err)
 	}
 }
 
@@ -362,5 +363,8 @@
 		}
 	}
 	s.recordConfirmations(confirmation.ConfirmedAt)
+	if message.Load != nil {
+		confirmation.Load, confirmation.LoadAt = message.Load, now-message.Load.Age
+	}
 	s.send(ctx, confirmation)
 }
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -46,6 +46,7 @@
 	log           *slog.Logger
 	subscriptions chan *Subscriber
 	failures      chan []forward.TargetFailures
+	loads         chan LoadReports
 	// acknowledged receives the subscribers that have received the configuration that they were sent.
 	acknowledged chan *Subscriber
 	// states has an element for each VM that is being sent the whole state.
@@ -63,6 +64,7 @@
 	}
 	s := &Server{
 		listener: l, log: log, subscriptions: make(chan *Subscriber, 16), failures: make(chan []forward.TargetFailures, 64),
+		loads:        make(chan LoadReports, 64),
 		acknowledged: make(chan *Subscriber, MaxSubscribers), states: make(chan struct{}, maxStates),
 	}
 	go s.accept()
@@ -75,6 +77,9 @@
 // Failures returns the channel of failures of targets that subscribers report.
 func (s *Server) Failures() <-chan []forward.TargetFailures { return s.failures }
 
+// Loads returns the channel of load reports of subscribers.
+func (s *Server) Loads() <-chan LoadReports { return s.loads }
+
 // Acknowledged returns the channel of subscribers that have received the configuration that they were sent. A subscriber is
 // left out while the channel is full.
 func (s *Server) Acknowledged() <-chan *Subscriber { return s.acknowledged }
@@ -144,6 +149,7 @@
 	sub.record(&first)
 	go func() {
 		defer cancel()
+		s.receiveLoads(ctx, sub, &first)
 		s.receiveReports(ctx, sub, input)
 	}()
 	defer cancel()
@@ -160,8 +166,8 @@
 	sub.writeMessages(ctx, conn)
 }
 
-// receiveReports receives the messages that a subscriber sends when its downstream VMs change, and the failures that
-// these observed, until its connection ends.
+// receiveReports receives the messages that a subscriber sends when its downstream VMs change, and the failures and
+// loads of targets that these observed, until its connection ends.
 func (s *Server) receiveReports(ctx context.Context, sub *Subscriber, input *bufio.Reader) {
 	for {
 		var repeated feedpb.Subscribe
@@ -173,14 +179,27 @@
 		case s.acknowledged <- sub:
 		default:
 		}
-		if len(repeated.Failures) == 0 {
-			continue
-		}
-		select {
-		case s.failures <- decodeFailures(repeated.Failures):
-		case <-ctx.Done():
-			return
+		if len(repeated.Failures) > 0 {
+			select {
+			case s.failures <- decodeFailures(repeated.Failures):
+			case <-ctx.Done():
+				return
+			}
 		}
+		s.receiveLoads(ctx, sub, &repeated)
+	}
+}
+
+// receiveLoads passes on the load reports in a message of a subscriber.
+func (s *Server) receiveLoads(ctx context.Context, sub *Subscriber, message *feedpb.Subscribe) {
+	if len(message.LoadReports) == 0 {
+		return
+	}
+	loads := LoadReports{Zone: sub.Zone}
+	loads.Reports, loads.Malformed = decodeReports(message.LoadReports)
+	select {
+	case s.loads <- loads:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -15,6 +15,7 @@
 	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/core/forward"
 	"github.com/mangoweir/mangoweir/core/registry"
+	"github.com/mangoweir/mangoweir/core/targetload"
 )
 
 const (
@@ -78,7 +79,9 @@
 	incarnation uint64
 	// startWait is how long a VM that starts waits for the state of its zone's reader. Tests change it.
 	startWait time.Duration
-	// wake makes a subscription report failures without waiting for a message.
+	// started is when the Source was created. load counts times from then.
+	started time.Time
+	// wake makes a subscription report failures and loads without waiting for a message.
 	wake chan struct{}
 
 	// stopping is true once a planned stop of the VM has begun.
@@ -106,6 +109,8 @@
 	downstreamReported bool
 	// failures are failures of targets to report to that VM.
 	failures []forward.TargetFailures
+	// load has the load reports for that VM.
+	load loadQueue
 	// peers are the addresses of the seeds and of VMs that have subscribed to this one.
 	peers map[string]struct{}
 }
@@ -119,7 +124,7 @@
 
 // NewSource returns a Source; Run starts it.
 func NewSource(o Options) *Source {
-	s := &Source{Options: o, incarnation: rand.Uint64(), startWait: startWait, wake: make(chan struct{}, 1), peers: map[string]struct{}{}}
+	s := &Source{Options: o, incarnation: rand.Uint64(), startWait: startWait, started: time.Now(), wake: make(chan struct{}, 1), peers: map[string]struct{}{}}
 	for _, seed := range o.Seeds {
 		s.peers[seed] = struct{}{}
 	}
@@ -167,6 +172,34 @@
 		s.failures = append(s.failures, failures...)
 	}
 	s.mu.Unlock()
+	s.wakeSubscription()
+}
+
+// ReportLoad sends load reports to the VM that this one subscribes to, merged with others of the same targets. They are lost
+// when there is none.
+func (s *Source) ReportLoad(reports []targetload.Report) {
+	s.mu.Lock()
+	wait, schedule := s.load.add(reports, s.sinceStart())
+	s.mu.Unlock()
+	switch {
+	case schedule && wait > 0:
+		time.AfterFunc(wait, s.wakeSubscription)
+	case schedule:
+		s.wakeSubscription()
+	}
+}
+
+// LoadsQueued returns the number of targets with load reports that wait to be sent.
+func (s *Source) LoadsQueued() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.load.reports)
+}
+
+func (s *Source) sinceStart() time.Duration { return time.Since(s.started) }
+
+// wakeSubscription makes a subscription send what is due.
+func (s *Source) wakeSubscription() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -67,6 +67,9 @@
 	Ejections []registry.Ejection
 	// Observations are changes of targets that other VMs detected.
 	Observations []registry.Observation
+	// Load is the load of the targets of a zone, as its reader computed it at LoadAt; nil when this event does not have it.
+	Load   *Load
+	LoadAt time.Duration
 	// State is set when the source's own state changed.
 	State *State
 }
