forwarder: control thread pools load reports and distributes the load

The reader of a zone adds reports of its zone to a Pool and every 250 ms computes a summary and the policy of admission, while there were reports in the last 10 s or the last summary was not empty. It sends them to the subscribers of its zone. They apply and relay a summary of their own zone if it is at least half an interval newer than the one that they have: ages are estimates, and two VMs that borrow from each other would otherwise exchange a summary endlessly. Table and Gate are published as atomic pointers; loadReports is the channel for the traffic thread.

go test -race ./internal/forwarder ./internal/feed ./core/registry passes.

--- a/internal/forwarder/control.go
+++ b/internal/forwarder/control.go
@@ -71,6 +71,8 @@
 	// have.
 	membership  *registry.Membership
 	sentMembers []forward.VMID
+	// load pools the load reports of the zone and has the load in force.
+	load loadControl
 	// settingsTime is the modification time of the settings file at its last reload, settingsChecked is when
 	// the file was last checked.
 	settingsTime    time.Time
@@ -105,6 +107,9 @@
 	}
 	c.handleObservations(event.Observations)
 	c.handleEjections(event.Ejections, "another VM")
+	if event.Load != nil {
+		c.handleLoad(event.Load, event.LoadAt)
+	}
 	if event.ZoneVMs > 0 {
 		c.lastContact = now
 		c.zoneVMs = event.ZoneVMs
@@ -132,6 +137,9 @@
 	if c.state.Role == feed.Subscribed || c.state.Role == "" {
 		c.noFeedSince = c.shared.clock.now()
 	}
+	if state.Role == feed.Reading && c.state.Role != feed.Reading {
+		c.resetLoad()
+	}
 	c.state = state
 	c.shared.role.Store(&state.Role)
 	c.updateWatchedTargets()
@@ -355,6 +363,7 @@
 		c.checkSettings()
 	}
 	c.publish()
+	c.updateLoad(now)
 }
 
 // updateIsolation decides whether the VM can reach neither the store nor any other VM.
@@ -373,7 +382,11 @@
 // nextTick returns the time until the next call of tick is due.
 func (c *control) nextTick() time.Duration {
 	now := c.shared.clock.now()
-	return max(0, min(c.heartbeatAt, c.registry.NextDue())-now)
+	due := min(c.heartbeatAt, c.registry.NextDue())
+	if c.computesLoad(now) {
+		due = min(due, c.load.dueAt)
+	}
+	return max(0, due-now)
 }
 
 // checkSettings reloads the settings when their file has changed.
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -72,6 +72,9 @@
 	deferredConfigs *metrics.Counter
 	// ejected counts ejections of targets.
 	ejected *metrics.Counter
+	// loadReports counts the reports of loads that this VM observed or received, loadSummaries the loads that came into force, and
+	// loadMalformed the entries of both that had no effect, because of their values or an unknown target.
+	loadReports, loadSummaries, loadMalformed *metrics.Counter
 }
 
 func newControlMetrics(m *telemetry.Metrics, shared *sharedState, subscribers func() int) *controlMetrics {
@@ -84,6 +87,9 @@
 		restarted:       set.NewCounter(`mangoweir_target_transitions_total{to="restarted"}`),
 		deferredConfigs: set.NewCounter("mangoweir_deferred_configs_total"),
 		ejected:         set.NewCounter("mangoweir_target_ejections_total"),
+		loadReports:     set.NewCounter("mangoweir_load_reports_total"),
+		loadSummaries:   set.NewCounter("mangoweir_load_summaries_total"),
+		loadMalformed:   set.NewCounter("mangoweir_load_malformed_total"),
 	}
 	for k := range registry.Kind(registry.NumKinds) {
 		c.updates[k] = set.NewCounter(fmt.Sprintf("mangoweir_updates_total{kind=%q}", k))
@@ -127,6 +133,12 @@
 		}
 		return 0
 	})
+	set.NewGauge("mangoweir_slow_targets", func() float64 {
+		if status := shared.load.Load(); status != nil && shared.clock.now()-status.at <= maxLoadAge {
+			return float64(status.slowTargets)
+		}
+		return 0
+	})
 	set.NewGauge("mangoweir_subscribers", func() float64 { return float64(subscribers()) })
 	return c
 }
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -17,6 +17,7 @@
 
 	"github.com/mangoweir/mangoweir/core/forward"
 	"github.com/mangoweir/mangoweir/core/registry"
+	"github.com/mangoweir/mangoweir/core/targetload"
 	"github.com/mangoweir/mangoweir/internal/feed"
 	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
@@ -48,6 +49,8 @@
 	events chan feed.Event
 	// failures are the failures of targets that the traffic thread observed.
 	failures chan []forward.TargetFailures
+	// loadReports are the loads of targets that the traffic thread observed.
+	loadReports chan []targetload.Report
 }
 
 // Run forwards packets until SIGTERM, SIGINT or the end of ctx. Logs go to out. Errors: those of
@@ -126,12 +129,13 @@
 		Log: telemetry.ComponentLogger(root, "feed"), Now: shared.clock.now, Events: events,
 	})
 	failures := make(chan []forward.TargetFailures, 16)
-	proc := &process{control: ctrl, conn: conn, server: server, events: events, failures: failures}
+	loadReports := make(chan []targetload.Report, 16)
+	proc := &process{control: ctrl, conn: conn, server: server, events: events, failures: failures, loadReports: loadReports}
 	if err := proc.serveHTTP(metrics, settings.HTTPAddr.String()); err != nil {
 		return nil, nil, err
 	}
 	return proc, &traffic{
-		prober: newProber(func() { wakeTraffic(conn, log) }), failures: failures,
+		prober: newProber(func() { wakeTraffic(conn, log) }), failures: failures, loadReports: loadReports,
 		shared: shared, format: platform.PacketFormat, conn: conn, forwarder: forward.New(settings.Zone, rand.Uint64()),
 		metrics: newTrafficMetrics(metrics.Set()), log: newFlowLog(telemetry.ComponentLogger(root, "flow")),
 		clientPort: settings.PacketAddr.Port(), startHold: maxStartHold,
@@ -182,6 +186,10 @@
 			p.handleFailures(failures)
 		case failures := <-p.server.Failures():
 			p.handleFailures(failures)
+		case reports := <-p.loadReports:
+			p.handleLoadReports(feed.LoadReports{Zone: p.settings.Zone, Reports: reports})
+		case reports := <-p.server.Loads():
+			p.handleLoadReports(reports)
 		case sub := <-p.server.Subscriptions():
 			p.addSubscriber(sub)
 		case <-p.server.Acknowledged():
--- a/internal/forwarder/shared.go
+++ b/internal/forwarder/shared.go
@@ -3,8 +3,10 @@
 import (
 	"sync/atomic"
 
+	"github.com/mangoweir/mangoweir/core/admission"
 	"github.com/mangoweir/mangoweir/core/forward"
 	"github.com/mangoweir/mangoweir/core/registry"
+	"github.com/mangoweir/mangoweir/core/targetload"
 	"github.com/mangoweir/mangoweir/internal/feed"
 )
 
@@ -26,6 +28,12 @@
 	heldRecords atomic.Int64
 	// role is the way in which the VM receives the changes of the store.
 	role atomic.Pointer[feed.Role]
+	// loadTable is the newest load of the targets, gate what is admitted and reserved because of it; nil before the first load.
+	// Both count as empty some time after the last load.
+	loadTable atomic.Pointer[targetload.Table]
+	gate      atomic.Pointer[admission.Gate]
+	// load is the same load for metrics.
+	load atomic.Pointer[loadStatus]
 	// stopping is true from SIGTERM on, isolated while neither the store nor another VM can be reached, and
 	// cannotServe while no target can be reached that may get new flows.
 	stopping, isolated, cannotServe atomic.Bool
--- a/internal/forwarder/traffic.go
+++ b/internal/forwarder/traffic.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/mangoweir/mangoweir/core/forward"
+	"github.com/mangoweir/mangoweir/core/targetload"
 	"github.com/mangoweir/mangoweir/internal/telemetry"
 )
 
@@ -38,7 +39,9 @@
 	// reached is true when awaitReach has ended.
 	reached atomic.Bool
 	// failures are sent to the control thread.
-	failures       chan<- []forward.TargetFailures
+	failures chan<- []forward.TargetFailures
+	// loadReports are sent to the control thread.
+	loadReports    chan<- []targetload.Report
 	snapshot       *forward.Snapshot
 	clockCheckedAt time.Duration
 	resetBuffer    []byte
