forwarder: use the load of targets for placement and admission

Cause: the traffic thread neither reported what it observes of targets nor read the summary and the policy of its zone's reader. Targets were grouped by service over all zones, so that a full zone raised the median that the targets of idle zones were compared with.

Targets are compared within their service and zone; the policy of a service follows the targets of the zone's own, or those of other zones while it has none.

--- a/internal/forwarder/load.go
+++ b/internal/forwarder/load.go
@@ -43,7 +43,10 @@
 
 // loadCapacity describes the targets that may get new flows.
 type loadCapacity struct {
+	// groups are the targets with their load groups: those of a service in a zone are compared with each other, and zones as a whole.
 	groups targetload.Groups
+	// groupNames contains the load groups of each service, that of the VM's own zone first if it has targets there.
+	groupNames map[string][]string
 	// services has the capacity in the VM's own zone by service, or that of all zones if the own zone has none.
 	services map[string]serviceCapacity
 }
@@ -51,7 +54,7 @@
 type serviceCapacity struct{ targets, slots int }
 
 func newLoadCapacity(snapshot *forward.Snapshot) loadCapacity {
-	capacity := loadCapacity{groups: targetload.Groups{}, services: map[string]serviceCapacity{}}
+	capacity := loadCapacity{groups: targetload.Groups{}, groupNames: map[string][]string{}, services: map[string]serviceCapacity{}}
 	for _, route := range snapshot.Routes {
 		for _, backend := range route.Backends {
 			service := backend.Service
@@ -60,7 +63,10 @@
 			}
 			for _, pool := range [][]*forward.Target{service.Local, service.Remote} {
 				for _, t := range pool {
-					capacity.groups[targetload.ID(t.Token)] = targetload.Group{Service: service.Name, Slots: t.Slots}
+					capacity.groups[targetload.ID(t.Token)] = targetload.Group{Service: t.LoadGroup, Slots: t.Slots}
+					if names := capacity.groupNames[service.Name]; !slices.Contains(names, t.LoadGroup) {
+						capacity.groupNames[service.Name] = append(names, t.LoadGroup)
+					}
 				}
 			}
 			own := serviceCapacity{len(service.Local), service.Slots.Local}
@@ -120,10 +126,7 @@
 		return
 	}
 	c.load.dueAt = now + loadInterval
-	if c.load.capacityOf != c.snapshot {
-		c.load.capacity, c.load.capacityOf = newLoadCapacity(c.snapshot), c.snapshot
-	}
-	summary := c.load.pool.Summarize(c.load.capacity.groups, now)
+	summary := c.load.pool.Summarize(c.loadCapacity().groups, now)
 	policy := c.load.controller.Update(c.admissionLoads(&summary), now)
 	load := feed.Load{Zone: c.settings.Zone, Summary: summary, Policy: policy}
 	if load.Empty() && !c.load.sentNonEmpty {
@@ -134,15 +137,42 @@
 	c.publishLoad(&load, now)
 }
 
-// admissionLoads returns the load of the services with recent reports for the decision what to admit.
+// loadCapacity returns the capacity of the newest snapshot.
+func (c *control) loadCapacity() *loadCapacity {
+	if c.load.capacityOf != c.snapshot {
+		c.load.capacity, c.load.capacityOf = newLoadCapacity(c.snapshot), c.snapshot
+	}
+	return &c.load.capacity
+}
+
+// admissionLoads returns the load of the services with recent reports for the decision what to admit. Slowness and rejections are
+// those of the own zone's targets, and those of the worst other zone if the own zone has no targets. The need of urgent requests is that of the
+// zone's callers, wherever their flows go.
 func (c *control) admissionLoads(summary *targetload.Summary) []admission.Load {
-	loads := make([]admission.Load, 0, len(summary.Services))
+	byGroup := make(map[string]targetload.ServiceLoad, len(summary.Services))
 	for _, s := range summary.Services {
-		own := c.load.capacity.services[s.Service]
-		loads = append(loads, admission.Load{
-			Service: s.Service, Slowness: s.Slowness, Rejected: s.Rejected, UrgentSlots: s.UrgentSlots, Slots: float64(own.slots),
-			Targets: own.targets, Priorities: c.priorities()[s.Service],
-		})
+		byGroup[s.Service] = s
+	}
+	var loads []admission.Load
+	for service, groups := range c.loadCapacity().groupNames {
+		own := c.load.capacity.services[service]
+		load := admission.Load{Service: service, Slots: float64(own.slots), Targets: own.targets, Priorities: c.priorities()[service]}
+		ownGroup := forward.LoadGroup(service, c.settings.Zone)
+		reported := false
+		for _, name := range groups {
+			group, ok := byGroup[name]
+			if !ok {
+				continue
+			}
+			reported = true
+			load.UrgentSlots += group.UrgentSlots
+			if name == ownGroup || groups[0] != ownGroup {
+				load.Slowness, load.Rejected = max(load.Slowness, group.Slowness), max(load.Rejected, group.Rejected)
+			}
+		}
+		if reported {
+			loads = append(loads, load)
+		}
 	}
 	return loads
 }
@@ -190,9 +220,15 @@
 func (c *control) knownLoad(load *feed.Load) (*feed.Load, int) {
 	priorities := c.priorities()
 	service := func(name string) bool { return len(priorities[name]) > 0 }
+	groups := map[string]bool{}
+	for _, names := range c.loadCapacity().groupNames {
+		for _, name := range names {
+			groups[name] = true
+		}
+	}
 	known := &feed.Load{Zone: load.Zone}
 	known.Summary.Targets = filter(load.Summary.Targets, func(t targetload.TargetLoad) bool { return c.target(t.ID) != nil })
-	known.Summary.Services = filter(load.Summary.Services, func(s targetload.ServiceLoad) bool { return service(s.Service) })
+	known.Summary.Services = filter(load.Summary.Services, func(s targetload.ServiceLoad) bool { return groups[s.Service] })
 	known.Policy.Reservations = filter(load.Policy.Reservations, func(r admission.Reservation) bool { return service(r.Service) })
 	known.Policy.Shares = filter(load.Policy.Shares, func(s admission.Share) bool { return slices.Index(priorities[s.Service], s.Priority) > 0 })
 	return known, countEntries(load) - countEntries(known)
--- a/internal/forwarder/loadlog.go
+++ b/internal/forwarder/loadlog.go
@@ -103,7 +103,7 @@
 		if t == nil {
 			continue
 		}
-		of := services[t.Service].Slowness
+		of := services[t.LoadGroup].Slowness
 		if of == 0 {
 			of = 1
 		}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -19,7 +19,7 @@
 	packets [forward.NumReasons][3]*metrics.Counter
 	// probes counts probes of targets by result.
 	probes [forward.NumProbeResults]*metrics.Counter
-	// unreported counts reports of failures that the control thread was too busy to take.
+	// unreported counts reports of failures and of loads that the control thread was too busy to take.
 	unreported *metrics.Counter
 	// malformed counts packets that could not be decoded, receiveErrors and sendErrors failures of the socket.
 	malformed, receiveErrors, sendErrors *metrics.Counter
--- a/internal/forwarder/traffic.go
+++ b/internal/forwarder/traffic.go
@@ -108,6 +108,7 @@
 			"flow", header.Flow.Client.String(), "service", header.Flow.Service.String())
 		return
 	}
+	t.forwarder.SetLoad(t.shared.loadTable.Load(), t.shared.gate.Load())
 	decision := t.forwarder.Handle(header, now)
 	switch decision.Action {
 	case forward.Forward:
@@ -121,6 +122,7 @@
 		t.prober.start(decision.Probe)
 	}
 	t.reportFailures(now)
+	t.reportLoad(now)
 	t.updateServing(now)
 	t.metrics.countDecision(&decision)
 	if decision.Reason != forward.OnFlow {
@@ -141,6 +143,19 @@
 	}
 }
 
+// reportLoad sends the load of targets that this VM observed to the control thread.
+func (t *traffic) reportLoad(now time.Duration) {
+	reports := t.forwarder.TakeLoadReports(now)
+	if reports == nil {
+		return
+	}
+	select {
+	case t.loadReports <- reports:
+	default:
+		t.metrics.unreported.Inc()
+	}
+}
+
 // handleProbeResults applies the results of finished probes and resets the flows that are lost according to
 // them.
 func (t *traffic) handleProbeResults() {
