core/admission: test of rising shares states the 2 s of the specification

Cause: the test took the time from the constant that it guards, and passed with a riseTime of 4 s.

Change: it states 2 s.

Measured: it fails with a riseTime of 4 s and passes with 2 s.

--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -92,7 +92,7 @@
 	if p := updates(&c, &now, 4, testLoad("a", 0.01)); shareOf(p, "a", 1) != floorShare {
 		t.Fatalf("shares changed between the thresholds: %+v", p)
 	}
-	for end := now + riseTime; now < end; {
+	for end := now + 2*time.Second; now < end; {
 		p := updates(&c, &now, 1, testLoad("a", 0.004))
 		if shareOf(p, "a", 2) > floorShare && shareOf(p, "a", 1) < 1 {
 			t.Fatalf("priority 2 rose before priority 1 was at 1: %+v", p)
