forwarder: space large loads

The reader leaves 0.25 ms for each byte until the next load.

go test -race ./internal/feed ./internal/forwarder passes.

--- a/internal/feed/load.go
+++ b/internal/feed/load.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/core/admission"
 	"github.com/mangoweir/mangoweir/core/targetload"
@@ -50,6 +52,9 @@
 	return len(l.Summary.Targets) == 0 && len(l.Summary.Services) == 0 && len(l.Policy.Shares) == 0 && len(l.Policy.Reservations) == 0
 }
 
+// Size returns the encoded size in bytes.
+func (l *Load) Size() int { return proto.Size(encodeLoad(l)) }
+
 func encodeReports(reports []targetload.Report) []*feedpb.LoadReport {
 	var out []*feedpb.LoadReport
 	for _, r := range reports[:min(len(reports), maxLoadEntries)] {
--- a/internal/forwarder/load.go
+++ b/internal/forwarder/load.go
@@ -13,6 +13,9 @@
 const (
 	// loadInterval is how often the reader of a zone computes and sends the load of its targets.
 	loadInterval = 250 * time.Millisecond
+	// timePerLoadByte is the minimum time for each byte of a load until the next one, so that the loads that a VM receives stay
+	// below 4 KB per second. A load with 64 targets has 0.7 KB, but many services and shares make it larger.
+	timePerLoadByte = time.Second / 4000
 	// maxLoadAge is the age from which a load has no effect: eight intervals. Tables and gates count as empty from then on.
 	maxLoadAge = 2 * time.Second
 	// capacityTimePerTarget is the minimum time for each target between two changes of the targets whose load is computed. Without
@@ -145,6 +148,7 @@
 		return
 	}
 	c.load.sentNonEmpty = !load.Empty()
+	c.load.dueAt = now + max(loadInterval, time.Duration(load.Size())*timePerLoadByte)
 	c.sendLoad(&load)
 	c.publishLoad(&load, now)
 }
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/core/admission"
@@ -436,6 +437,29 @@
 	}
 }
 
+// Guards against control traffic that grows with the number of services.
+func TestLargeLoadsAreSentLessOften(t *testing.T) {
+	c, subscriber := loadControlThread(t, feed.Reading)
+	now := c.shared.clock.now()
+	next := *c.snapshot
+	next.Routes = map[forward.Endpoint]*forward.Route{}
+	reports := feed.LoadReports{Zone: "zone-a"}
+	for i := range loadTargets {
+		id := loadID(i)
+		name := fmt.Sprintf("%s-%d", strings.Repeat("service", 20), i)
+		service := &forward.Service{Name: name, Local: []*forward.Target{c.target(id)}}
+		next.Routes[forward.Endpoint{Port: uint32(i)}] = &forward.Route{Backends: []forward.Backend{{Service: service, Weight: 1}}}
+		reports.Reports = append(reports.Reports, targetload.Report{ID: id, Responses: 1, Took: time.Second, Work: time.Second})
+	}
+	c.snapshot = &next
+	c.handleLoadReports(reports)
+	c.updateLoad(now)
+	size := proto.Size(nextLoad(subscriber))
+	if wait := c.load.dueAt - now; float64(size)/wait.Seconds() > 4001 {
+		t.Errorf("%d bytes are sent every %s", size, wait)
+	}
+}
+
 // BenchmarkLoadCapacity measures what a new snapshot costs the reader of a zone, in the largest deployment.
 func BenchmarkLoadCapacity(b *testing.B) {
 	service := &forward.Service{Name: "desk"}
