--- a/internal/forwarder/load.go
+++ b/internal/forwarder/load.go
@@ -13,8 +13,14 @@
 const (
 	// loadInterval is how often the reader of a zone computes and sends the load of its targets.
 	loadInterval = 250 * time.Millisecond
+	// timePerLoadByte is the minimum time for each byte of a load until the next one, so that the loads that a VM receives stay
+	// below 4 KB per second. A load with 64 targets has 0.7 KB, but many services and shares make it larger.
+	timePerLoadByte = time.Second / 4000
 	// maxLoadAge is the age from which a load has no effect: eight intervals. Tables and gates count as empty from then on.
 	maxLoadAge = 2 * time.Second
+	// capacityTimePerTarget is the minimum time for each target between two changes of the targets whose load is computed. Without
+	// it, 76,000 targets that change four times a second would cost the reader 5% of a core (11.8 ms each).
+	capacityTimePerTarget = 40 * time.Microsecond
 	// loadIdleAfter is the time without reports after which a reader whose last load was empty computes none. The pool forgets
 	// targets after the same time.
 	loadIdleAfter = 10 * time.Second
@@ -26,9 +32,10 @@
 	// pool and controller are in use while this VM is the reader of its zone.
 	pool       targetload.Pool
 	controller admission.Controller
-	// capacity is that of the snapshot in capacityOf.
-	capacity   loadCapacity
-	capacityOf *forward.Snapshot
+	// capacity is that of the snapshot in capacityOf. capacityDueAt is when that of a newer snapshot may be computed.
+	capacity      loadCapacity
+	capacityOf    *forward.Snapshot
+	capacityDueAt time.Duration
 	// priorities are the priorities of the routes to each service in the configuration prioritiesOf.
 	priorities   map[string][]int
 	prioritiesOf uint64
@@ -54,31 +61,46 @@
 type serviceCapacity struct{ targets, slots int }
 
 func newLoadCapacity(snapshot *forward.Snapshot) loadCapacity {
-	capacity := loadCapacity{groups: targetload.Groups{}, groupNames: map[string][]string{}, services: map[string]serviceCapacity{}}
+	services := map[string]*forward.Service{}
+	targets := 0
 	for _, route := range snapshot.Routes {
 		for _, backend := range route.Backends {
-			service := backend.Service
-			if _, added := capacity.services[service.Name]; added {
-				continue
+			if s := backend.Service; services[s.Name] == nil {
+				services[s.Name] = s
+				targets += len(s.Local) + len(s.Remote)
 			}
-			for _, pool := range [][]*forward.Target{service.Local, service.Remote} {
-				for _, t := range pool {
-					capacity.groups[targetload.ID(t.Token)] = targetload.Group{Service: t.LoadGroup, Slots: t.Slots}
-					if names := capacity.groupNames[service.Name]; !slices.Contains(names, t.LoadGroup) {
-						capacity.groupNames[service.Name] = append(names, t.LoadGroup)
-					}
+		}
+	}
+	capacity := loadCapacity{
+		groups: make(targetload.Groups, targets), groupNames: make(map[string][]string, len(services)), services: make(map[string]serviceCapacity, len(services)),
+	}
+	for name, s := range services {
+		for _, pool := range [][]*forward.Target{s.Local, s.Remote} {
+			for _, t := range pool {
+				capacity.groups[targetload.ID(t.Token)] = targetload.Group{Service: t.LoadGroup, Slots: t.Slots}
+				if !slices.Contains(capacity.groupNames[name], t.LoadGroup) {
+					capacity.groupNames[name] = append(capacity.groupNames[name], t.LoadGroup)
 				}
 			}
-			own := serviceCapacity{len(service.Local), service.Slots.Local}
-			if own.targets == 0 {
-				own = serviceCapacity{len(service.Remote), service.Slots.Remote}
-			}
-			capacity.services[service.Name] = own
 		}
+		own := serviceCapacity{len(s.Local), s.Slots.Local}
+		if own.targets == 0 {
+			own = serviceCapacity{len(s.Remote), s.Slots.Remote}
+		}
+		capacity.services[name] = own
 	}
 	return capacity
 }
 
+// updateCapacity takes over the targets of the newest snapshot. With many targets it does so less often.
+func (l *loadControl) updateCapacity(snapshot *forward.Snapshot, now time.Duration) {
+	if l.capacityOf == snapshot || l.capacityOf != nil && now < l.capacityDueAt {
+		return
+	}
+	l.capacity, l.capacityOf = newLoadCapacity(snapshot), snapshot
+	l.capacityDueAt = now + time.Duration(len(l.capacity.groups))*capacityTimePerTarget
+}
+
 // handleLoadReports handles reports about targets that this VM or a subscriber observed. The zone's reader pools them, and
 // VMs that receive its feed send them on towards it, like failures of targets. Other VMs discard them.
 func (c *control) handleLoadReports(reports feed.LoadReports) {
@@ -126,25 +148,19 @@
 		return
 	}
 	c.load.dueAt = now + loadInterval
-	summary := c.load.pool.Summarize(c.loadCapacity().groups, now)
+	c.load.updateCapacity(c.snapshot, now)
+	summary := c.load.pool.Summarize(c.load.capacity.groups, now)
 	policy := c.load.controller.Update(c.admissionLoads(&summary), now)
 	load := feed.Load{Zone: c.settings.Zone, Summary: summary, Policy: policy}
 	if load.Empty() && !c.load.sentNonEmpty {
 		return
 	}
 	c.load.sentNonEmpty = !load.Empty()
+	c.load.dueAt = now + max(loadInterval, time.Duration(load.Size())*timePerLoadByte)
 	c.sendLoad(&load)
 	c.publishLoad(&load, now)
 }
 
-// loadCapacity returns the capacity of the newest snapshot.
-func (c *control) loadCapacity() *loadCapacity {
-	if c.load.capacityOf != c.snapshot {
-		c.load.capacity, c.load.capacityOf = newLoadCapacity(c.snapshot), c.snapshot
-	}
-	return &c.load.capacity
-}
-
 // admissionLoads returns the load of the services with recent reports for the decision what to admit. Slowness and rejections are
 // those of the own zone's targets, and those of the worst other zone if the own zone has no targets. The need of urgent requests is that of the
 // zone's callers, wherever their flows go.
@@ -154,7 +170,7 @@
 		byGroup[s.Service] = s
 	}
 	var loads []admission.Load
-	for service, groups := range c.loadCapacity().groupNames {
+	for service, groups := range c.load.capacity.groupNames {
 		own := c.load.capacity.services[service]
 		load := admission.Load{Service: service, Slots: float64(own.slots), Targets: own.targets, Priorities: c.priorities()[service]}
 		ownGroup := forward.LoadGroup(service, c.settings.Zone)
@@ -218,10 +234,11 @@
 // knownLoad returns a load without the entries of targets, services and priorities that this VM does not know, and their
 // number. A share of the most urgent priority counts among them, as its flows are always admitted.
 func (c *control) knownLoad(load *feed.Load) (*feed.Load, int) {
+	c.load.updateCapacity(c.snapshot, c.shared.clock.now())
 	priorities := c.priorities()
 	service := func(name string) bool { return len(priorities[name]) > 0 }
 	groups := map[string]bool{}
-	for _, names := range c.loadCapacity().groupNames {
+	for _, names := range c.load.capacity.groupNames {
 		for _, name := range names {
 			groups[name] = true
 		}
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mangoweir/mangoweir/core"
 	"github.com/mangoweir/mangoweir/core/admission"
@@ -342,7 +343,7 @@
 	}}
 	want := admission.Load{Service: "desk", Slowness: 2, Rejected: 0.1, Slots: 2 * loadTargets, UrgentSlots: 4, Targets: loadTargets, Priorities: []int{0, 2}}
 	load := func() admission.Load {
-		c.load.capacityOf = nil
+		c.load.capacity = newLoadCapacity(c.snapshot)
 		return c.admissionLoads(summary)[0]
 	}
 	if got := load(); !reflect.DeepEqual(got, want) {
@@ -401,3 +402,80 @@
 type writerFunc func(b []byte) (int, error)
 
 func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
+
+// Guards against loads that are late because nothing wakes the reader, and against a tick, which goes through all targets, for each load.
+func TestTimerComputesLoads(t *testing.T) {
+	c, subscriber := loadControlThread(t, feed.Reading)
+	now := c.shared.clock.now()
+	c.heartbeatAt = now + time.Hour
+	c.handleLoadReports(loadReport(0))
+	if wait := c.untilTimer(); wait != 0 {
+		t.Errorf("the first load is due in %s", wait)
+	}
+	c.handleTimer()
+	if nextLoad(subscriber) == nil {
+		t.Error("no load was sent")
+	}
+	if c.settingsChecked != 0 {
+		t.Error("a load caused a tick")
+	}
+	if wait := c.untilTimer(); wait <= 0 || wait > loadInterval {
+		t.Errorf("the next load is due in %s, want at most %s", wait, loadInterval)
+	}
+}
+
+// Guards against a reader that spends its processor time on the targets of each snapshot, and against one that never takes over new
+// targets.
+func TestCapacityIsUpdatedLessOftenWithManyTargets(t *testing.T) {
+	c, _ := loadControlThread(t, feed.Reading)
+	now := c.shared.clock.now()
+	c.load.updateCapacity(c.snapshot, now)
+	next := *c.snapshot
+	due := now + 2*loadTargets*capacityTimePerTarget
+	if c.load.updateCapacity(&next, due-1); c.load.capacityOf == &next {
+		t.Error("the capacity was computed too early")
+	}
+	if c.load.updateCapacity(&next, due); c.load.capacityOf != &next {
+		t.Error("the capacity was not computed when due")
+	}
+}
+
+// Guards against control traffic that grows with the number of services.
+func TestLargeLoadsAreSentLessOften(t *testing.T) {
+	c, subscriber := loadControlThread(t, feed.Reading)
+	now := c.shared.clock.now()
+	next := *c.snapshot
+	next.Routes = map[forward.Endpoint]*forward.Route{}
+	reports := feed.LoadReports{Zone: "zone-a"}
+	for i := range loadTargets {
+		id := loadID(i)
+		name := fmt.Sprintf("%s-%d", strings.Repeat("service", 20), i)
+		service := &forward.Service{Name: name, Local: []*forward.Target{c.target(id)}}
+		next.Routes[forward.Endpoint{Port: uint32(i)}] = &forward.Route{Backends: []forward.Backend{{Service: service, Weight: 1}}}
+		reports.Reports = append(reports.Reports, targetload.Report{ID: id, Responses: 1, Took: time.Second, Work: time.Second})
+	}
+	c.snapshot = &next
+	c.handleLoadReports(reports)
+	c.updateLoad(now)
+	size := proto.Size(nextLoad(subscriber))
+	if wait := c.load.dueAt - now; float64(size)/wait.Seconds() > 4001 {
+		t.Errorf("%d bytes are sent every %s", size, wait)
+	}
+}
+
+// BenchmarkLoadCapacity measures what a new snapshot costs the reader of a zone, in the largest deployment.
+func BenchmarkLoadCapacity(b *testing.B) {
+	service := &forward.Service{Name: "desk"}
+	for i := range 76_000 {
+		target := &forward.Target{Token: forward.Token(i * 2_654_435_761), Service: "desk", Slots: 2}
+		if i%3 == 0 {
+			service.Local = append(service.Local, target)
+		} else {
+			service.Remote = append(service.Remote, target)
+		}
+	}
+	snapshot := &forward.Snapshot{Routes: map[forward.Endpoint]*forward.Route{{}: {Backends: []forward.Backend{{Service: service, Weight: 1}}}}}
+	for b.Loop() {
+		newLoadCapacity(snapshot)
+	}
+}
