forward: urgent routes by their part of the new flows

Change: urgent are the most urgent priorities that together have a tenth of a service's new flows, with a half-life of a minute.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -54,7 +54,7 @@
 		routeLoads: map[Endpoint]*routeLoad{},
 		answeredAt: map[core.ZoneName]time.Duration{},
 		link:       linkload.New(0),
-		shared:     sharedLoad{active: map[string]map[int]time.Duration{}},
+		shared:     sharedLoad{priorities: map[string]*priorityMix{}},
 	}
 }
 
@@ -205,7 +205,7 @@
 		f.requestProbe(&decision, first.load, f.snapshot.Targets[first.load.token], now)
 	}
 	load := f.routeLoad(header.Flow.Service)
-	load.urgent = f.isUrgent(route, now)
+	load.urgent = f.isUrgent(route, header.Ack == 0, now)
 	f.expirePending(load, now)
 	if first == nil && !load.limit.allows(load.waiting, header.Ack) {
 		// Clients that are refused try again at once, three times in all, and most would fail within some
--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -19,9 +19,6 @@
 	// while the targets of the service reject requests.
 	reservedWeight   = 1.0 / 16
 	unreservedWeight = 1.0 / 4
-	// activeTime is how long a route counts as active after its last new flow. Configurations contain routes without requests, which
-	// must not decide which of the others are the most urgent.
-	activeTime = 10 * time.Second
 	// remoteMargin is the part of a route's latency objective by which the response time must be shorter in another zone before a
 	// flow goes there.
 	remoteMargin = 1.0 / 8
@@ -35,8 +32,8 @@
 	table     *targetload.Table
 	gate      *admission.Gate
 	collector targetload.Collector
-	// active contains the times of the last new flows by service and priority, as far as they are within activeTime.
-	active map[string]map[int]time.Duration
+	// priorities are the priorities of the new flows by service.
+	priorities map[string]*priorityMix
 }
 
 // SetLoad replaces the load of targets and the admission policy of this VM's zone. Both may be nil.
@@ -72,29 +69,6 @@
 	return flow
 }
 
-// isUrgent records a new flow of a route and reports whether no active route to the same services has a more urgent priority.
-func (f *Forwarder) isUrgent(route *Route, now time.Duration) bool {
-	urgent := true
-	for i := range route.Backends {
-		service := route.Backends[i].Service.Name
-		active := f.shared.active[service]
-		if active == nil {
-			active = map[int]time.Duration{}
-			f.shared.active[service] = active
-		}
-		for priority, at := range active {
-			switch {
-			case now-at >= activeTime:
-				delete(active, priority)
-			case priority < route.Priority:
-				urgent = false
-			}
-		}
-		active[route.Priority] = now
-	}
-	return urgent
-}
-
 // admits reports whether a new flow that is not urgent may be placed now, or gives way to more urgent ones of the service.
 func (f *Forwarder) admits(route *Route, service *Service, now time.Duration) bool {
 	return f.shared.gate.Admits(service.Name, route.Priority, f.random.Float64(), now)
--- a/core/forward/shared_load_test.go
+++ b/core/forward/shared_load_test.go
@@ -28,9 +28,11 @@
 	return snapshot
 }
 
-// recordUrgentFlow makes a Forwarder know a route to the same service with a more urgent priority.
-func recordUrgentFlow(f *Forwarder, now time.Duration) {
-	f.isUrgent(&Route{Priority: 1, Backends: []Backend{{Service: f.snapshot.service()}}}, now)
+// recordFlows records new flows of a route to the same service with another priority.
+func recordFlows(f *Forwarder, priority, flows int, now time.Duration) {
+	for range flows {
+		f.isUrgent(&Route{Priority: priority, Backends: []Backend{{Service: f.snapshot.service()}}}, true, now)
+	}
 }
 
 // learnWork makes a Forwarder know the work of a request, by fast responses.
@@ -154,7 +156,7 @@
 		snapshot := loadedSnapshot(40, urgent)
 		f := testForwarder(snapshot)
 		f.SetLoad(nil, admission.NewGate(policy, 0))
-		recordUrgentFlow(f, 0)
+		recordFlows(f, 1, 1000, 0)
 		_, targets := placements(f, 2000, 0)
 		reserved, all := 0, 0
 		for _, target := range snapshot.service().Local {
@@ -177,23 +179,22 @@
 func TestLessUrgentFlowsGiveWay(t *testing.T) {
 	policy := admission.Policy{Shares: []admission.Share{{Service: "desk", Priority: 2, Admitted: 0.25}}}
 	for name, test := range map[string]struct {
-		priority    int
-		otherActive bool
-		now         time.Duration
-		min, max    int
+		priority, other, otherFlows int
+		now                         time.Duration
+		min, max                    int
 	}{
-		"less urgent":                            {2, true, time.Second, 200, 300},
-		"urgent":                                 {1, true, time.Second, 1000, 1000},
-		"the most urgent of the active routes":   {2, false, time.Second, 1000, 1000},
-		"less urgent, without the zone's reader": {2, true, 10 * time.Second, 1000, 1000},
+		"less urgent": {2, 1, 1000, time.Second, 200, 300},
+		"urgent":      {1, 2, 1000, time.Second, 1000, 1000},
+		// Operators' checks of a route are a few flows with the most urgent priority.
+		"the most urgent with requests":          {1, 0, 50, time.Second, 1000, 1000},
+		"the most urgent of the active routes":   {2, 1, 0, time.Second, 1000, 1000},
+		"less urgent, without the zone's reader": {2, 1, 1000, 10 * time.Second, 1000, 1000},
 	} {
 		snapshot := loadedSnapshot(10, true)
 		snapshot.Routes[deskAddr].Priority = test.priority
 		f := testForwarder(snapshot)
 		f.SetLoad(nil, admission.NewGate(policy, 0))
-		if test.otherActive {
-			recordUrgentFlow(f, test.now)
-		}
+		recordFlows(f, test.other, test.otherFlows, test.now)
 		zones, _ := placements(f, 1000, test.now)
 		if n := zones["zone-a"] + zones["zone-b"]; n < test.min || n > test.max {
 			t.Errorf("%s: %d of 1,000 flows are placed, want %d to %d", name, n, test.min, test.max)
