standin/fleet: clients send nothing on a flow after its reset

Cause: after a reset, the client closed its flow with a FIN, as if it were open. VMs learned in that way that the flow had ended, which clients of TCP do not tell them.

Change: a client forgets a flow that was reset.

--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -221,6 +221,8 @@
 			switch {
 			case p.flags&flagRST != 0:
 				c.checkReset(flow, p)
+				// As with TCP, nothing is sent on a flow after its reset.
+				flow.open = false
 				return false
 			case len(p.data) == 0 || p.seq != flow.ack:
 				continue
