standin/fleet: targets that are full

Cause: no fault of the stand-ins makes a target reset connections or reject requests, as targets over their limits do (docs/load.md 3.6).

Change: SetFull makes a target full for a time. It answers requests on flows that it has answered before with a rejection, which is a sixth of the size of a response (these are padded now), and resets other flows when a request arrives. Clients repeat rejected requests, also those that are not idempotent, and keep the flow. New TCP connections are accepted by a thread that waits for them and are closed with linger 0: on loopback addresses the connection is established before the reset.

--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -16,6 +16,12 @@
 	kindUnsafe = "unsafe"
 )
 
+// Verbs of responses: a target states that it ran a request, or that it did not because it is full.
+const (
+	verbDone     = "done"
+	verbRejected = "full"
+)
+
 const (
 	// firstSYNRetransmit and secondSYNRetransmit are the times after the first SYN at which it is retransmitted,
 	// openTimeout is the time after it at which the attempt ends.
@@ -28,6 +34,8 @@
 	meanPause = 60 * time.Millisecond
 	// maxFlowRequests is the maximum number of requests on a flow.
 	maxFlowRequests = 60
+	// rejectionPause is the time after which a client repeats a request that a full target rejected.
+	rejectionPause = 20 * time.Millisecond
 )
 
 // client is a client with an address of its own. Depending on its kind it uses a flow for many requests, or
@@ -125,17 +133,17 @@
 			// The id stays the same, as a request that may have run must not run again.
 			attempt = id
 		}
-		if c.exchange(flow, attempt, end) {
-			if c.kind == kindUnsafe || flow.requests >= maxFlowRequests {
-				c.closeFlow()
-			}
-			return served
+		result = c.exchange(flow, attempt, end)
+		if result == failed || c.kind == kindUnsafe || flow.requests >= maxFlowRequests {
+			c.closeFlow()
 		}
-		c.closeFlow()
-		result = failed
-		if c.kind == kindUnsafe {
+		if result == served || result == failed && c.kind == kindUnsafe {
 			return result
 		}
+		if result == refused {
+			// The target has not run the request. The flow stays open, as those of the users' clients do.
+			time.Sleep(rejectionPause)
+		}
 	}
 	return result
 }
@@ -203,8 +211,9 @@
 	return false
 }
 
-// exchange sends a request on an open flow, waits for its response and reports whether the response arrived.
-func (c *client) exchange(flow *clientFlow, id string, end time.Time) bool {
+// exchange sends a request on an open flow, waits for its response and returns the outcome: refused if the target rejected the
+// request.
+func (c *client) exchange(flow *clientFlow, id string, end time.Time) outcome {
 	data := []byte(strings.Join([]string{id, c.kind, c.service}, " "))
 	flow.requests++
 	delay := firstRetransmitDelay
@@ -223,23 +232,27 @@
 				c.checkReset(flow, p)
 				// As with TCP, nothing is sent on a flow after its reset.
 				flow.open = false
-				return false
+				return failed
 			case len(p.data) == 0 || p.seq != flow.ack:
 				continue
 			}
-			var got, target string
-			if n, _ := fmt.Sscanf(string(p.data), "done %s %s", &got, &target); n != 2 || got != id {
+			var verb, got, target string
+			n, _ := fmt.Sscanf(string(p.data), "%s %s %s", &verb, &got, &target)
+			if n != 3 || got != id || verb != verbDone && verb != verbRejected {
 				c.fleet.Checker.addViolation("MIXED", "request %s received the response %q", id, p.data)
-				return false
+				return failed
 			}
 			flow.target = target
 			flow.seq += uint32(len(data))
 			flow.ack += uint32(len(p.data))
 			c.send(flow, flagACK, nil)
-			return true
+			if verb == verbRejected {
+				return refused
+			}
+			return served
 		}
 	}
-	return false
+	return failed
 }
 
 // checkReset checks a reset on an open flow: while the flow's target runs, no other sender may reset it. A
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -21,6 +21,9 @@
 	idleTimeout = 12 * time.Second
 	// requestTime is the time that a target needs for a request.
 	requestTime = 15 * time.Millisecond
+	// responseSize is the size of a response in bytes. A rejection is at most a fifth of it: on the users' platform these have
+	// about 140 and at least 800 bytes.
+	responseSize = 120
 )
 
 // Target is a target: a process at an address, which may be started again.
@@ -34,7 +37,7 @@
 
 	mu          sync.Mutex
 	conn        *net.UDPConn
-	tcp         net.Listener
+	tcp         *net.TCPListener
 	startMillis int64
 	flows       map[netip.AddrPort]*targetFlow
 	// drainingAt is when the store acknowledged that the target drains, zero before.
@@ -44,6 +47,8 @@
 	alive         bool
 	// lastFault is when the target was last killed.
 	lastFault time.Time
+	// fullUntil is the time until which the target is full, see SetFull.
+	fullUntil time.Time
 	stop      chan struct{}
 }
 
@@ -54,7 +59,9 @@
 	seq       uint32 // next to send
 	token     uint32
 	open      bool
-	response  *packet
+	// answered is true when the target has answered a request of the flow.
+	answered bool
+	response *packet
 }
 
 // Start starts an incarnation of the target. It is cold for ColdStart if cold is set.
@@ -63,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	tcp, err := net.Listen("tcp4", t.addr.String())
+	tcp, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(t.addr))
 	if err != nil {
 		_ = udp.Close()
 		return err
@@ -72,7 +79,7 @@
 	t.conn, t.tcp, t.alive, t.stop = udp, tcp, true, make(chan struct{})
 	t.flows = map[netip.AddrPort]*targetFlow{}
 	t.startMillis = time.Now().UnixMilli()
-	t.drainingAt, t.coldFlowTimes, t.coldUntil = time.Time{}, nil, time.Time{}
+	t.drainingAt, t.coldFlowTimes, t.coldUntil, t.fullUntil = time.Time{}, nil, time.Time{}, time.Time{}
 	if cold {
 		t.coldUntil = time.Now().Add(ColdStart)
 	}
@@ -127,13 +134,18 @@
 }
 
 // accept accepts TCP connections and keeps each until it has been idle for idleTimeout or the incarnation
-// ends.
-func (t *Target) accept(l net.Listener, stop chan struct{}) {
+// ends. It resets them while the target is full.
+func (t *Target) accept(l *net.TCPListener, stop chan struct{}) {
 	for {
-		conn, err := l.Accept()
+		conn, err := l.AcceptTCP()
 		if err != nil {
 			return
 		}
+		if t.full() {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+			continue
+		}
 		go func() {
 			defer conn.Close()
 			ended := make(chan struct{})
@@ -256,7 +268,21 @@
 	}
 	if len(p.data) > 0 && p.seq == flow.clientSeq {
 		flow.clientSeq += uint32(len(p.data))
-		go t.runRequest(p.src, flow, string(p.data))
+		t.handleRequest(p.src, flow, string(p.data))
+	}
+}
+
+// handleRequest runs, rejects or resets a request. t.mu is held.
+func (t *Target) handleRequest(client netip.AddrPort, flow *targetFlow, request string) {
+	switch {
+	case !time.Now().Before(t.fullUntil):
+		go t.runRequest(client, flow, request)
+	case flow.answered:
+		id, _, _ := strings.Cut(request, " ")
+		t.respond(client, flow, strings.Join([]string{verbRejected, id, t.ID}, " "))
+	default:
+		t.send(&packet{src: flow.dst, dst: client, flags: flagRST | flagACK, seq: flow.seq, ack: flow.clientSeq, token: flow.token})
+		delete(t.flows, client)
 	}
 }
 
@@ -277,10 +303,14 @@
 	if !t.alive || t.flows[client] != flow {
 		return
 	}
-	data := strings.Join([]string{"done", id, t.ID}, " ")
+	t.respond(client, flow, fmt.Sprintf("%-*s", responseSize, strings.Join([]string{verbDone, id, t.ID}, " ")))
+}
+
+// respond sends a response on a flow. t.mu is held.
+func (t *Target) respond(client netip.AddrPort, flow *targetFlow, data string) {
 	p := &packet{src: flow.dst, dst: client, flags: flagACK, seq: flow.seq, ack: flow.clientSeq, token: flow.token, data: []byte(data)}
 	flow.seq += uint32(len(data))
-	flow.response = p
+	flow.answered, flow.response = true, p
 	go t.retransmitResponse(client, flow, p)
 }
 
