soak: full targets

Cause: the soak had no full targets, so that it did not find that a VM resets the flows of targets that reset connections.

Change: a third of the targets become full for 1 to 4 s, as often as Extra.Full says: cmd/soak and make soak 4 times by default, TestSoak only in the new case full-targets. The events have a random stream of their own.

Ruled out: the kind among those that each seed draws from. The number of kinds decides what a seed gives; TestPlanFollowsSeed guards against it. Full targets in the existing cases would change the load in which their faults were seen.

--- a/Makefile
+++ b/Makefile
@@ -45,14 +45,15 @@
 bench:
 	$(GO) run ./cmd/bench
 
-# Runs real processes under random faults: SEEDS seeds from SEED on, PARALLEL at a time. The store is restored from an earlier
-# copy RESTORES times in each run.
+# Runs real processes under random faults: SEEDS seeds from SEED on, PARALLEL at a time. In each run, the store is restored from an
+# earlier copy RESTORES times, and some targets become full FULL times. FULL=0 gives the plans of seeds recorded before FULL.
 SEED ?= 1
 SEEDS ?= 1
 PARALLEL ?= 1
 RESTORES ?= 0
+FULL ?= 4
 soak: build
-	$(GO) run ./cmd/soak -binary bin/mangoweir -seed $(SEED) -seeds $(SEEDS) -parallel $(PARALLEL) -restores $(RESTORES) -v
+	$(GO) run ./cmd/soak -binary bin/mangoweir -seed $(SEED) -seeds $(SEEDS) -parallel $(PARALLEL) -restores $(RESTORES) -full $(FULL) -v
 
 # Needs protoc; the plugin is built from the version in go.mod.
 generate:
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,7 @@
 		length   = flag.Duration("length", 25*time.Second, "length of a run")
 		vms      = flag.Int("vms", 3, "VMs in each of three zones")
 		restores = flag.Int("restores", 0, "number of times in a run that the store is restored from an earlier copy")
+		full     = flag.Int("full", 4, "number of times in a run that some targets become full")
 		verbose  = flag.Bool("v", false, "print each fault as it begins")
 	)
 	flag.Parse()
@@ -48,7 +49,7 @@
 			if *verbose {
 				progress = os.Stdout
 			}
-			results[i], err = soak.Run(options, *length, *restores, progress)
+			results[i], err = soak.Run(options, *length, soak.Extra{Restores: *restores, Full: *full}, progress)
 			if err == nil {
 				fmt.Printf("seed %d: %d violations, outcomes %v\n", options.Seed, len(results[i].Violations), results[i].Outcomes)
 			}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,6 +36,7 @@
 	Drain               Kind = "drain"      // a target drains and ends
 	Crash               Kind = "crash"      // a target ends without a drain
 	Restart             Kind = "restart"    // a target ends and starts again with the same id, cold
+	Full                Kind = "full"       // some targets are full: they reject requests and reset new flows and connections
 	AddTarget           Kind = "add-host"
 	ZoneOut             Kind = "zone-out" // a zone is taken out of service and brought back cold
 	Route               Kind = "route"    // a route of a service is replaced by another
@@ -43,7 +44,8 @@
 	PacketDisorder      Kind = "disorder" // packets are delayed, duplicated and reordered
 )
 
-// planned are the kinds that do not suspend the time bounds.
+// planned are the kinds that do not suspend the time bounds. Full does not either, but is not listed here: the list's length decides
+// which events a seed gives.
 var planned = []Kind{Term, Reload, ReloadWithoutSignal, InvalidEntry, Drain, AddTarget, ZoneOut, Route, Crash, Restart}
 
 // allKinds are the kinds from which a plan with faults is made.
@@ -68,7 +70,7 @@
 }
 
 // Planned reports whether the event must not cause a violation.
-func (e Event) Planned() bool { return slices.Contains(planned, e.Kind) }
+func (e Event) Planned() bool { return e.Kind == Full || slices.Contains(planned, e.Kind) }
 
 const (
 	// quietStart and quietEnd are the times without new events at the start of a run, and at its end, for
@@ -90,11 +92,23 @@
 	maxRewriteDelay = time.Second
 	// restoredDuration is how long the store is down before it is restored.
 	restoredDuration = 2 * time.Second
+	// minFullDuration is the minimum time for which targets are full. VMs connect to them again every 0.3 s.
+	minFullDuration = time.Second
+	// fullStream selects the random numbers of the events Full. They have a stream of their own so that the other events of a
+	// seed stay the same. It is larger than the seeds in use, as equal numbers would give the stream of the other events.
+	fullStream = 0xf011
 )
 
-// NewPlan returns the events of a run, sorted by time. Equal arguments give equal plans. In addition to the events that the
-// seed gives, the store is restored from a copy the given number of times.
-func NewPlan(seed uint64, length time.Duration, restores int) []Event {
+// Extra are the numbers of events in addition to those that the seed gives.
+type Extra struct {
+	// Restores is how often the store is restored from a copy.
+	Restores int
+	// Full is how often some targets become full.
+	Full int
+}
+
+// NewPlan returns the events of a run, sorted by time. Equal arguments give equal plans.
+func NewPlan(seed uint64, length time.Duration, extra Extra) []Event {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var plan []Event
 	// Plans of even seeds have planned changes only, so that the time bounds apply during the whole run.
@@ -116,12 +130,19 @@
 			plan = append(plan, e)
 		}
 	}
-	for range restores {
+	for range extra.Restores {
 		plan = append(plan, Event{
 			At:   quietStart + time.Duration(random.Int64N(int64(length-quietEnd-quietStart))),
 			Kind: StoreRestored, Duration: time.Duration(random.Int64N(int64(restoredDuration))), Pick: random.IntN(1000),
 		})
 	}
+	random = rand.New(rand.NewPCG(seed, fullStream))
+	for range extra.Full {
+		plan = append(plan, Event{
+			At:   quietStart + time.Duration(random.Int64N(int64(length-quietEnd-quietStart))),
+			Kind: Full, Duration: minFullDuration + time.Duration(random.Int64N(int64(maxDuration-minFullDuration))), Pick: random.IntN(1000),
+		})
+	}
 	slices.SortStableFunc(plan, func(a, b Event) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,9 +49,8 @@
 	zonesOut    map[int]bool
 }
 
-// Run runs the plan of a seed, in which the store is restored from a copy the given number of times, and returns the result. An
-// error means that the run itself failed.
-func Run(options fleet.Options, length time.Duration, restores int, progress io.Writer) (*Result, error) {
+// Run runs the plan of a seed with extra events and returns the result. An error means that the run itself failed.
+func Run(options fleet.Options, length time.Duration, extra Extra, progress io.Writer) (*Result, error) {
 	f, err := fleet.Start(options)
 	if err != nil {
 		return nil, err
@@ -67,7 +66,7 @@
 	}
 	r := &run{Fleet: f, progress: progress, zonesOut: map[int]bool{}}
 	offset := f.Checker.Now()
-	plan := NewPlan(options.Seed, length, restores)
+	plan := NewPlan(options.Seed, length, extra)
 	for _, e := range plan {
 		time.Sleep(offset + e.At - f.Checker.Now())
 		fmt.Fprintf(progress, "seed %d  %s\n", options.Seed, e)
@@ -139,6 +138,8 @@
 		r.writeForeignEntry(event)
 	case Drain, Crash, Restart, AddTarget:
 		r.changeTarget(event)
+	case Full:
+		r.fillTargets(event)
 	case ZoneOut:
 		r.zoneOut(event)
 	case Route:
@@ -241,6 +242,16 @@
 	}
 }
 
+// fillTargets makes a third of the targets full, as far as they run, for the duration of the event.
+func (r *run) fillTargets(event Event) {
+	for i, target := range r.Targets() {
+		if i%3 == event.Pick%3 {
+			target.SetFull(event.Duration)
+		}
+	}
+	time.Sleep(event.Duration)
+}
+
 func (r *run) report(err error) {
 	if err != nil {
 		fmt.Fprintf(r.progress, "event failed: %v\n", err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,44 +46,46 @@
 	seed   uint64
 	fleet  fleet.Options
 	length time.Duration
-	// restores is the number of times that the store is restored from an earlier copy.
-	restores int
+	extra  Extra
 }{
-	{"planned", 2, ciFleet, ciLength, 0},
-	{"faults", 123, ciFleet, ciLength, 0},
-	{"planned-restored", 4, ciFleet, ciLength, 2},
+	{"planned", 2, ciFleet, ciLength, Extra{}},
+	{"faults", 123, ciFleet, ciLength, Extra{}},
+	{"planned-restored", 4, ciFleet, ciLength, Extra{Restores: 2}},
 	// There were 400 ms between two watches of targets, and a target that restarted cold with the same id got
 	// 21 new flows within a second in that time.
-	{"late-restart", 8, manualFleet, manualLength, 0},
+	{"late-restart", 8, manualFleet, manualLength, Extra{}},
 	// A target restarts cold with the same id while watches get no response, or while the store refuses calls,
 	// so that no VM can read that it is cold: up to 77 new flows within a second. On a busy machine, seed 7 also
 	// gave a zone two readers, only one of which had seen the target restart.
-	{"watches-held-restart", 7, manualFleet, manualLength, 0},
-	{"outage-restart", 3, ciFleet, ciLength, 0},
+	{"watches-held-restart", 7, manualFleet, manualLength, Extra{}},
+	{"outage-restart", 3, ciFleet, ciLength, Extra{}},
 	// The reader of a zone was too busy to find the port closed during a restart of 25 ms (seed 107).
-	{"busy-restart", 107, manualFleet, manualLength, 0},
-	{"expired-restart", 121, manualFleet, manualLength, 0},
+	{"busy-restart", 107, manualFleet, manualLength, Extra{}},
+	{"expired-restart", 121, manualFleet, manualLength, Extra{}},
 	// A VM that started during a target's cold start assumed that the cold start ended up to 0.94 s too early.
 	// The target got 11 new flows within a second, and it sustains 8.
-	{"late-subscriber", 3, manualFleet, manualLength, 0},
+	{"late-subscriber", 3, manualFleet, manualLength, Extra{}},
 	// A zone is taken out of service and brought back with cold targets, while the store serves no VM. See
 	// KNOWN-RED.txt.
-	{"unheard-return", 437, manualFleet, manualLength, 0},
+	{"unheard-return", 437, manualFleet, manualLength, Extra{}},
 	// All VMs are killed in an outage of the store, and a target restarts cold with the same id before most VMs of its
 	// zone have data again, from other zones. See KNOWN-RED.txt.
-	{"unseen-restart", 601, manualFleet, manualLength, 0},
+	{"unseen-restart", 601, manualFleet, manualLength, Extra{}},
 	// The store was restored from an earlier copy and gave out revisions again: VMs missed the changes with revisions that they
 	// knew, and kept an earlier configuration until the end.
-	{"restored-lost-changes", 1007, manualFleet, manualLength, 2},
+	{"restored-lost-changes", 1007, manualFleet, manualLength, Extra{Restores: 2}},
 	// An entry of another writer had the address of a running target: three of its flows were reset.
-	{"foreign-entry", 3006, manualFleet, manualLength, 0},
+	{"foreign-entry", 3006, manualFleet, manualLength, Extra{}},
 	// A target restarts cold with the same id while the store serves no VM, and one VM of its zone learns of it too late.
 	// See KNOWN-RED.txt.
-	{"silent-restart", 815, manualFleet, manualLength, 0},
-	{"refused-restart", 831, manualFleet, manualLength, 0},
+	{"silent-restart", 815, manualFleet, manualLength, Extra{}},
+	{"refused-restart", 831, manualFleet, manualLength, Extra{}},
 	// A target restarts cold with the same id while the store is silent, and VMs of another zone, which place flows on it, do not
 	// learn of it. See KNOWN-RED.txt.
-	{"silent-store-restart", 2009, manualFleet, manualLength, 0},
+	{"silent-store-restart", 2009, manualFleet, manualLength, Extra{}},
+	// Full targets reset the connections of the readers' watchers, which took ECONNRESET for a closed port, when they replaced
+	// connections that were idle for 12 s: open flows of running targets were reset.
+	{"full-targets", 902, manualFleet, manualLength, Extra{Full: 8}},
 }
 
 // Guards against violations of the users' rules by real processes under overlapping faults and changes.
@@ -97,7 +99,7 @@
 			t.Parallel()
 			o := r.fleet
 			o.Binary, o.Dir, o.Seed = binary, logDir(t), r.seed
-			result, err := Run(o, r.length, r.restores, io.Discard)
+			result, err := Run(o, r.length, r.extra, io.Discard)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -165,10 +167,10 @@
 	}
 }
 
-// Guards against plans that are not determined by their seed, and against unplanned events in the plans
-// of even seeds.
+// Guards against plans that are not determined by their seed, against unplanned events in the plans of even seeds, and against
+// extra full targets that change the other events of a seed that has failed.
 func TestPlanFollowsSeed(t *testing.T) {
-	first, second := NewPlan(7, time.Minute, 2), NewPlan(7, time.Minute, 2)
+	first, second := NewPlan(7, time.Minute, Extra{2, 3}), NewPlan(7, time.Minute, Extra{2, 3})
 	if len(first) == 0 || len(first) != len(second) {
 		t.Fatalf("%d and %d events", len(first), len(second))
 	}
@@ -177,9 +179,14 @@
 			t.Fatalf("event %d: %v and %v", i, first[i], second[i])
 		}
 	}
-	for _, e := range NewPlan(8, time.Minute, 0) {
+	for _, e := range NewPlan(8, time.Minute, Extra{Full: 3}) {
 		if !e.Planned() {
 			t.Fatalf("an even seed has the unplanned event %v", e)
 		}
 	}
+	isFull := func(e Event) bool { return e.Kind == Full }
+	with, without := NewPlan(7, time.Minute, Extra{2, 3}), NewPlan(7, time.Minute, Extra{Restores: 2})
+	if with = slices.DeleteFunc(with, isFull); !slices.Equal(with, without) {
+		t.Fatalf("%d events are not the %d of the seed without full targets", len(with), len(without))
+	}
 }
