standin/fleet: check resets of open flows without a response

Cause: a client knows its flow's target by the responses only, so that a VM's reset of an open flow before the first response was not checked.

Change: the target of such a flow is the one at which it is open.

--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -258,15 +258,15 @@
 // checkReset checks a reset on an open flow: while the flow's target runs, no other sender may reset it. A
 // reset with a checksum was sent by a target.
 func (c *client) checkReset(flow *clientFlow, p *packet) {
-	if p.sum != 0 || flow.target == "" {
+	if p.sum != 0 {
 		return
 	}
 	now := time.Now()
 	if _, dropped := c.fleet.droppedAt(flow.route); dropped || !c.fleet.Checker.stableAt(now) {
 		return
 	}
-	if target := c.fleet.target(flow.target); target != nil && target.Alive() && target.stableAt(now) {
-		c.fleet.Checker.addViolation("FLOW", "flow %s of client %s was reset although its target %s runs", flow.local, c.addr, flow.target)
+	if target := c.fleet.targetOf(flow); target != nil && target.Alive() && target.stableAt(now) {
+		c.fleet.Checker.addViolation("FLOW", "flow %s of client %s was reset although its target %s runs", flow.local, c.addr, target.ID)
 	}
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -282,9 +282,11 @@
 	return append([]*Target(nil), f.targets...)
 }
 
-func (f *Fleet) target(id string) *Target {
+// targetOf returns the target of an open flow: the one that answered it last, or else the one at which it is open; nil if there is
+// none.
+func (f *Fleet) targetOf(flow *clientFlow) *Target {
 	for _, t := range f.Targets() {
-		if t.ID == id {
+		if t.ID == flow.target || flow.target == "" && t.hasOpenFlow(flow.local) {
 			return t
 		}
 	}
--- a/internal/standin/fleet/full_test.go
+++ b/internal/standin/fleet/full_test.go
@@ -121,8 +121,21 @@
 	if v := target.fleet.Checker.Violations(); len(v) != 0 {
 		t.Errorf("the target's own reset gave %v", v)
 	}
-	c.checkReset(flow, &packet{src: flow.route, flags: flagRST})
+	byVM := &packet{src: flow.route, flags: flagRST}
+	c.checkReset(flow, byVM)
 	if v := target.fleet.Checker.Violations(); len(v) != 1 || v[0].Rule != "FLOW" {
 		t.Errorf("a VM's reset gave %v, want one violation of FLOW", v)
 	}
+	unanswered := &clientFlow{local: netip.MustParseAddrPort("127.0.0.1:20001"), route: flow.route, open: true}
+	c.checkReset(unanswered, byVM)
+	if v := target.fleet.Checker.Violations(); len(v) != 1 {
+		t.Errorf("a VM's reset of a flow that is open at no target gave %v", v[1:])
+	}
+	target.mu.Lock()
+	target.flows[unanswered.local] = &targetFlow{open: true}
+	target.mu.Unlock()
+	c.checkReset(unanswered, byVM)
+	if v := target.fleet.Checker.Violations(); len(v) != 2 || v[1].Rule != "FLOW" {
+		t.Errorf("a VM's reset of a flow without a response gave %v, want one more violation of FLOW", v)
+	}
 }
--- a/internal/standin/fleet/request.go
+++ b/internal/standin/fleet/request.go
@@ -79,3 +79,11 @@
 		delay = min(2*delay, maxRetransmitDelay)
 	}
 }
+
+// hasOpenFlow reports whether a client's flow is open at the target.
+func (t *Target) hasOpenFlow(client netip.AddrPort) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	flow := t.flows[client]
+	return flow != nil && flow.open
+}
