--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -2,26 +2,14 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"net"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 )
 
-const (
-	// firstRetransmitDelay is the time after which an unacknowledged packet is retransmitted. It doubles
-	// with each retransmission up to maxRetransmitDelay.
-	firstRetransmitDelay = 200 * time.Millisecond
-	maxRetransmitDelay   = 1600 * time.Millisecond
-	// maxResponseSends is the maximum number of times that a target sends a response.
-	maxResponseSends = 8
-	// idleTimeout is the time after which a target closes an idle TCP connection, as in the site files.
-	idleTimeout = 12 * time.Second
-	// requestTime is the time that a target needs for a request.
-	requestTime = 15 * time.Millisecond
-)
+// idleTimeout is the time after which a target closes an idle TCP connection, as in the site files.
+const idleTimeout = 12 * time.Second
 
 // Target is a target: a process at an address, which may be started again.
 type Target struct {
@@ -34,7 +22,7 @@
 
 	mu          sync.Mutex
 	conn        *net.UDPConn
-	tcp         net.Listener
+	tcp         *net.TCPListener
 	startMillis int64
 	flows       map[netip.AddrPort]*targetFlow
 	// drainingAt is when the store acknowledged that the target drains, zero before.
@@ -44,6 +32,8 @@
 	alive         bool
 	// lastFault is when the target was last killed.
 	lastFault time.Time
+	// fullUntil is the time until which the target is full, see SetFull.
+	fullUntil time.Time
 	stop      chan struct{}
 }
 
@@ -54,7 +44,9 @@
 	seq       uint32 // next to send
 	token     uint32
 	open      bool
-	response  *packet
+	// answered is true when the target has answered a request of the flow.
+	answered bool
+	response *packet
 }
 
 // Start starts an incarnation of the target. It is cold for ColdStart if cold is set.
@@ -63,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	tcp, err := net.Listen("tcp4", t.addr.String())
+	tcp, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(t.addr))
 	if err != nil {
 		_ = udp.Close()
 		return err
@@ -72,7 +64,7 @@
 	t.conn, t.tcp, t.alive, t.stop = udp, tcp, true, make(chan struct{})
 	t.flows = map[netip.AddrPort]*targetFlow{}
 	t.startMillis = time.Now().UnixMilli()
-	t.drainingAt, t.coldFlowTimes, t.coldUntil = time.Time{}, nil, time.Time{}
+	t.drainingAt, t.coldFlowTimes, t.coldUntil, t.fullUntil = time.Time{}, nil, time.Time{}, time.Time{}
 	if cold {
 		t.coldUntil = time.Now().Add(ColdStart)
 	}
@@ -127,13 +119,18 @@
 }
 
 // accept accepts TCP connections and keeps each until it has been idle for idleTimeout or the incarnation
-// ends.
-func (t *Target) accept(l net.Listener, stop chan struct{}) {
+// ends. It resets them while the target is full.
+func (t *Target) accept(l *net.TCPListener, stop chan struct{}) {
 	for {
-		conn, err := l.Accept()
+		conn, err := l.AcceptTCP()
 		if err != nil {
 			return
 		}
+		if t.full() {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+			continue
+		}
 		go func() {
 			defer conn.Close()
 			ended := make(chan struct{})
@@ -256,48 +253,7 @@
 	}
 	if len(p.data) > 0 && p.seq == flow.clientSeq {
 		flow.clientSeq += uint32(len(p.data))
-		go t.runRequest(p.src, flow, string(p.data))
-	}
-}
-
-// runRequest processes a request and sends its response.
-func (t *Target) runRequest(client netip.AddrPort, flow *targetFlow, request string) {
-	var id, kind, service string
-	if n, err := fmt.Sscanf(request, "%s %s %s", &id, &kind, &service); n != 3 || err != nil {
-		t.fleet.Checker.addViolation("UNASKED", "target %s received the request %q", t.ID, request)
-		return
-	}
-	if service != t.Service {
-		t.fleet.Checker.addViolation("ROUTE", "request %s for %s ran at %s of %s", id, service, t.ID, t.Service)
-	}
-	t.fleet.Checker.recordExecution(id, t.ID, kind == kindSafe)
-	time.Sleep(requestTime)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.alive || t.flows[client] != flow {
-		return
-	}
-	data := strings.Join([]string{"done", id, t.ID}, " ")
-	p := &packet{src: flow.dst, dst: client, flags: flagACK, seq: flow.seq, ack: flow.clientSeq, token: flow.token, data: []byte(data)}
-	flow.seq += uint32(len(data))
-	flow.response = p
-	go t.retransmitResponse(client, flow, p)
-}
-
-// retransmitResponse sends a response until it is acknowledged, at most maxResponseSends times.
-func (t *Target) retransmitResponse(client netip.AddrPort, flow *targetFlow, p *packet) {
-	delay := firstRetransmitDelay
-	for range maxResponseSends {
-		t.mu.Lock()
-		if !t.alive || flow.response != p || t.flows[client] != flow {
-			t.mu.Unlock()
-			return
-		}
-		p.token = flow.token
-		t.send(p)
-		t.mu.Unlock()
-		time.Sleep(delay)
-		delay = min(2*delay, maxRetransmitDelay)
+		t.handleRequest(p.src, flow, string(p.data))
 	}
 }
 
