admission, targetload: decide by rejections of urgent requests and compare with the best tenth

When most targets are full, their median hid the few that are not. Long flows are placed within the first seconds of a start, before there was a reservation.

Change: shares follow the rejections of urgent requests; SYNs that give way are reset at once, as a client that waits for its copies is late. Targets are compared with the best tenth of their group. A fifth of the targets is reserved until the need is known.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -84,7 +84,7 @@
 func (c *Controller) service(name string, now time.Duration) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{shares: make(map[int]float64), updated: now - updateInterval}
+		s = &service{shares: make(map[int]float64), updated: now - updateInterval, reservation: reservation{held: InitialReservation}}
 		c.services[name] = s
 	}
 	return s
--- a/core/admission/reservation.go
+++ b/core/admission/reservation.go
@@ -11,6 +11,10 @@
 	reservedPerUrgent = 1.4
 	maxReserved       = 0.5
 
+	// InitialReservation is the fraction that is reserved until the need of urgent requests is known. Long-lived flows that are placed on
+	// all targets before that, when all clients open theirs after a start, would stay there.
+	InitialReservation = 0.2
+
 	// reservationHalfLife is longer than a pause between two bursts of urgent requests. Flows that were placed on a target
 	// while it was not reserved stay there, so a reservation that falls too early can't be restored at once.
 	reservationHalfLife = 10 * time.Second
@@ -18,9 +22,9 @@
 	// reservationStep is the smallest change that is published. Each change moves some targets in or out of the reservation.
 	reservationStep = 0.02
 
-	// minReservedTargets is the number of a service's targets below which nothing is reserved, as a single target would be
+	// MinReservedTargets is the number of a service's targets below which nothing is reserved, as a single target would be
 	// too large a part.
-	minReservedTargets = 10
+	MinReservedTargets = 10
 )
 
 // reservation is the part of a service's targets that is reserved for urgent requests.
@@ -30,7 +34,7 @@
 }
 
 func (r *reservation) update(load Load, elapsed time.Duration) {
-	if load.Service != "" && load.Targets < minReservedTargets {
+	if load.Service != "" && load.Targets < MinReservedTargets {
 		*r = reservation{}
 		return
 	}
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -5,8 +5,9 @@
 // Load is the load of a service, as the VMs of a zone observe it.
 type Load struct {
 	Service string
-	// Slowness is the response time as a multiple of the time without a queue, Rejected the share of requests that targets
-	// rejected.
+	// Slowness is the response time as a multiple of the time without a queue, Rejected the share of the requests of the most urgent
+	// priority that targets rejected. Rejections of others are no reason to turn flows away: with long-lived flows, they go on
+	// whatever becomes of new flows.
 	Slowness, Rejected float64
 	// Slots is the capacity of the service's targets, UrgentSlots the part of it that the requests of the most urgent priority need.
 	Slots, UrgentSlots float64
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -219,7 +219,7 @@
 	switch {
 	case first != nil:
 	case !load.urgent && !f.admits(route, service, now):
-		return Decision{Reason: LessUrgent}
+		return f.refuse(header, now, LessUrgent)
 	case !f.linkAdmits(load, now):
 		return Decision{Reason: LinkFull}
 	}
--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -15,10 +15,9 @@
 	// many requests end as a full queue holds.
 	minFullTime = 100 * time.Millisecond
 	maxFullTime = time.Second
-	// reservedWeight is the weight of reserved targets for flows that are not urgent, unreservedWeight that of the others for urgent flows
-	// while the targets of the service reject requests.
-	reservedWeight   = 1.0 / 16
-	unreservedWeight = 1.0 / 4
+	// reservedWeight is the weight of reserved targets for flows that are not urgent. It is below that of full targets that are not
+	// reserved, which is 1/36 when they are six times slower than the best.
+	reservedWeight = 1.0 / 64
 	// remoteMargin is the part of a route's latency objective by which the response time must be shorter in another zone before a
 	// flow goes there.
 	remoteMargin = 1.0 / 8
@@ -61,7 +60,7 @@
 // SYN, or nil.
 func (f *Forwarder) newFlow(route *Route, service *Service, r *routeLoad, first *flowState, now time.Duration) newFlow {
 	flow := newFlow{
-		urgent: r.urgent, reserved: f.shared.gate.ReservedFraction(service.Name, now), work: r.work.Work(), latencyObjective: route.LatencyObjective,
+		urgent: r.urgent, reserved: f.reservedFraction(service, now), work: r.work.Work(), latencyObjective: route.LatencyObjective,
 	}
 	if first != nil && first.synPending {
 		flow.avoid = first.load.token
@@ -69,6 +68,18 @@
 	return flow
 }
 
+// reservedFraction returns the part of a service's targets that is reserved for urgent flows. Before the first policy it is the
+// initial one.
+func (f *Forwarder) reservedFraction(service *Service, now time.Duration) float64 {
+	switch {
+	case f.shared.gate != nil:
+		return f.shared.gate.ReservedFraction(service.Name, now)
+	case service.Prioritized && len(service.Local) >= admission.MinReservedTargets:
+		return admission.InitialReservation
+	}
+	return 0
+}
+
 // admits reports whether a new flow that is not urgent may be placed now, or gives way to more urgent ones of the service.
 func (f *Forwarder) admits(route *Route, service *Service, now time.Duration) bool {
 	return f.shared.gate.Admits(service.Name, route.Priority, f.random.Float64(), now)
@@ -82,7 +93,9 @@
 		target: t, suspected: t.Token == flow.avoid,
 		weight: f.shared.table.Weight(id, t.LoadGroup, now), slowness: f.shared.table.Slowness(id, t.LoadGroup, now),
 	}
-	c.weight *= f.reservationWeight(t, flow, now)
+	if !flow.urgent && flow.reserved > 0 && admission.Reserved(uint32(t.FlowToken), flow.reserved) {
+		c.weight *= reservedWeight
+	}
 	if l := f.loads[t.Token]; l != nil && now < l.fullUntil {
 		c.weight = 0
 	}
@@ -90,22 +103,6 @@
 	return c
 }
 
-// reservationWeight returns the weight of a target for a flow because of the reservation of targets for urgent flows.
-func (f *Forwarder) reservationWeight(t *Target, flow newFlow, now time.Duration) float64 {
-	switch {
-	case flow.reserved == 0:
-		return 1
-	case admission.Reserved(uint32(t.FlowToken), flow.reserved):
-		if flow.urgent {
-			return 1
-		}
-		return reservedWeight
-	case flow.urgent && f.shared.table.Rejected(t.LoadGroup, now) > 0:
-		return unreservedWeight
-	}
-	return 1
-}
-
 // leavesZone reports whether a flow goes to another zone, because its targets respond sooner. The probability rises with the
 // difference, so that the VMs of a zone do not all leave it at the same time.
 func (f *Forwarder) leavesZone(local, remote candidate, flow newFlow) bool {
--- a/core/forward/snapshot.go
+++ b/core/forward/snapshot.go
@@ -100,6 +100,8 @@
 	ColdLimit float64
 	// Slots are the slots of the service's targets that may get new flows.
 	Slots SlotCounts
+	// Prioritized is true if the routes to the service have different priorities.
+	Prioritized bool
 }
 
 // SlotCounts are numbers of slots by the pool of their targets. RemoteCold are those of cold targets in other
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -114,11 +114,13 @@
 		return services
 	}
 	snapshot.IdleTimeout = r.config.IdleTimeout
+	priorities := r.Priorities()
 	for i := range r.config.Services {
 		s := &r.config.Services[i]
 		services[s.Name] = &forward.Service{
-			Name:      s.Name,
-			ColdLimit: s.ColdPerSecond*r.limits.ColdOverage + r.limits.ColdSlack,
+			Name:        s.Name,
+			Prioritized: len(priorities[s.Name]) > 1,
+			ColdLimit:   s.ColdPerSecond*r.limits.ColdOverage + r.limits.ColdSlack,
 		}
 	}
 	for i := range r.config.Routes {
--- a/core/targetload/collector.go
+++ b/core/targetload/collector.go
@@ -37,6 +37,9 @@
 		return
 	}
 	sum.Responses++
+	if urgent {
+		sum.UrgentResponses++
+	}
 	if work > 0 && took > 0 {
 		sum.Took += min(took, maxTook)
 		sum.addWork(work, urgent)
@@ -51,6 +54,9 @@
 		return
 	}
 	sum.Rejected++
+	if urgent {
+		sum.UrgentRejected++
+	}
 	if work > 0 {
 		sum.addWork(work, urgent)
 	}
--- a/core/targetload/collector_test.go
+++ b/core/targetload/collector_test.go
@@ -24,14 +24,14 @@
 			c.Finish(1, 10*ms, 14*ms, true)
 			convey.So(c.Take(start+999*ms), convey.ShouldBeNil)
 			convey.So(c.Take(start+time.Second), convey.ShouldResemble,
-				[]Report{{ID: 1, Responses: 2, Took: 26 * ms, Work: 20 * ms, UrgentWork: 10 * ms}})
+				[]Report{{ID: 1, Responses: 2, UrgentResponses: 1, Took: 26 * ms, Work: 20 * ms, UrgentWork: 10 * ms}})
 			convey.So(c.Take(start+time.Hour), convey.ShouldBeNil)
 		})
 		convey.Convey("A rejection is reported after 250 ms", func() {
 			c.Reject(1, 10*ms, true)
 			convey.So(c.Take(start+249*ms), convey.ShouldBeNil)
 			convey.So(c.Take(start+250*ms), convey.ShouldResemble,
-				[]Report{{ID: 1, Rejected: 1, Work: 10 * ms, UrgentWork: 10 * ms}})
+				[]Report{{ID: 1, Rejected: 1, UrgentRejected: 1, Work: 10 * ms, UrgentWork: 10 * ms}})
 		})
 		convey.Convey("A slow target is reported after 250 ms", func() {
 			c.Finish(1, 10*ms, 21*ms, false)
@@ -43,7 +43,7 @@
 			c.Finish(1, 10*ms, -time.Second, true)
 			c.Finish(1, time.Hour, 1000*time.Hour, false)
 			convey.So(c.Take(start+time.Second), convey.ShouldResemble,
-				[]Report{{ID: 1, Responses: 4, Took: maxTook, Work: maxTook}})
+				[]Report{{ID: 1, Responses: 4, UrgentResponses: 3, Took: maxTook, Work: maxTook}})
 		})
 		convey.Convey("The busiest 64 targets come first, the others with the next set", func() {
 			for id := range ID(100) {
--- a/core/targetload/pool.go
+++ b/core/targetload/pool.go
@@ -40,8 +40,27 @@
 type sums struct {
 	at                                          time.Duration // of the last report, and of the sums
 	responses, rejected, took, work, urgentWork float64
-	// recentResponses and recentRejected have the half-life of rejections by service.
-	recentResponses, recentRejected float64
+	// recent has the half-life of rejections by service.
+	recent requestSums
+}
+
+// requestSums are exponentially decayed numbers of requests.
+type requestSums struct{ responses, rejected, urgentResponses, urgentRejected float64 }
+
+// plus returns the sums scaled by a factor, with other sums added.
+func (s requestSums) plus(other requestSums, factor float64) requestSums {
+	return requestSums{
+		s.responses*factor + other.responses, s.rejected*factor + other.rejected,
+		s.urgentResponses*factor + other.urgentResponses, s.urgentRejected*factor + other.urgentRejected,
+	}
+}
+
+// rejectedShare returns the share of rejected requests, 0 if there are none.
+func rejectedShare(responses, rejected float64) float64 {
+	if responses+rejected <= 0 {
+		return 0
+	}
+	return rejected / (responses + rejected)
 }
 
 // decayed returns the sums at a later time.
@@ -55,9 +74,7 @@
 	s.took *= f
 	s.work *= f
 	s.urgentWork *= decay(now-s.at, urgentHalfLife)
-	recent := decay(now-s.at, rejectedHalfLife)
-	s.recentResponses *= recent
-	s.recentRejected *= recent
+	s.recent = s.recent.plus(requestSums{}, decay(now-s.at, rejectedHalfLife))
 	s.at = now
 	return s
 }
@@ -85,8 +102,7 @@
 		*s = s.decayed(now)
 		s.responses += float64(r.Responses)
 		s.rejected += float64(r.Rejected)
-		s.recentResponses += float64(r.Responses)
-		s.recentRejected += float64(r.Rejected)
+		s.recent = s.recent.plus(requestSums{float64(r.Responses), float64(r.Rejected), float64(r.UrgentResponses), float64(r.UrgentRejected)}, 1)
 		if r.Work > 0 { // without work, which may be less than the unit on the wire, response times say nothing
 			s.took += r.Took.Seconds()
 			s.work += r.Work.Seconds()
@@ -98,7 +114,7 @@
 // plausible returns whether a Collector can have made the report.
 func (r Report) plausible() bool {
 	n := r.requests()
-	return n > 0 && n <= maxRequests &&
+	return n > 0 && n <= maxRequests && r.UrgentResponses <= r.Responses && r.UrgentRejected <= r.Rejected &&
 		r.Took >= 0 && r.Took <= time.Duration(r.Responses)*maxTook &&
 		r.Work >= 0 && r.Work <= time.Duration(n)*maxTook &&
 		r.UrgentWork >= 0 && r.UrgentWork <= r.Work
--- a/core/targetload/pool_test.go
+++ b/core/targetload/pool_test.go
@@ -39,7 +39,7 @@
 		p.Add(reports(9, 1.2), start)
 		p.Add([]Report{report(9, 10, 6)}, start)
 
-		convey.Convey("The slow target is listed, and the service has the median", func() {
+		convey.Convey("The slow target is listed, and the service has the slowness of its best targets", func() {
 			s := p.Summarize(groups, start)
 			convey.So(s.Targets, convey.ShouldHaveLength, 1)
 			convey.So(s.Targets[0].ID, convey.ShouldEqual, 9)
@@ -70,6 +70,24 @@
 			convey.So(s.Targets[0].Slowness, convey.ShouldBeBetween, 9.5, 10.5)
 			convey.So(s.Services[0].Rejected, convey.ShouldAlmostEqual, 1000./1100, 0.001)
 		})
+		convey.Convey("When most targets are full, they are compared with the few that are not", func() {
+			for id := range ID(9) {
+				if id > 0 {
+					p.Add([]Report{{ID: id, Responses: 100, Rejected: 100, Took: 6 * time.Second, Work: 2 * time.Second}}, start)
+				}
+			}
+			p.Add([]Report{report(0, 100, 1)}, start)
+			s := p.Summarize(groups, start)
+			convey.So(s.Targets, convey.ShouldHaveLength, 9)
+			convey.So(s.Services[0].Slowness, convey.ShouldBeLessThan, 1.5)
+			convey.So(s.Services[0].Rejected, convey.ShouldBeGreaterThan, 0.3)
+			convey.So(s.Services[0].UrgentRejected, convey.ShouldEqual, 0)
+		})
+		convey.Convey("Rejections of urgent requests are counted apart", func() {
+			p.Add([]Report{{ID: 3, Responses: 90, UrgentResponses: 9, Rejected: 10, UrgentRejected: 1, Took: time.Second, Work: time.Second}}, start)
+			s := p.Summarize(groups, start)
+			convey.So(s.Services[0].UrgentRejected, convey.ShouldAlmostEqual, 0.1, 0.001)
+		})
 		convey.Convey("The slots of a service follow a new map of targets", func() {
 			p.Summarize(groups, start)
 			convey.So(p.Summarize(testGroups(30, "desk"), start).Services[0].Slots, convey.ShouldEqual, 60)
--- a/core/targetload/summary.go
+++ b/core/targetload/summary.go
@@ -16,8 +16,12 @@
 	// slownessHalfLife is that of the difference between a target without recent reports and its service: a recovered target is
 	// to be used again within 5 s.
 	slownessHalfLife = 2 * time.Second
-	// slowTarget is the ratio of the slowness of a target to that of its service from which it is listed.
-	slowTarget = 1.5
+	// bestQuantile is the quantile of the targets that the others are compared with. A median would be that of full targets when most
+	// of a service is full, and hide that some have capacity, such as those reserved for urgent requests.
+	bestQuantile = 0.1
+	// slowTarget is the ratio of the slowness of a target to that of its service from which it is listed. The best tenth of equal
+	// targets is about a fifth below their mean by chance.
+	slowTarget = 2
 	// recentRejections is the decayed number of rejections from which a target is listed: one within 1.6 s.
 	recentRejections = 0.1
 	// maxSlowTargets is the number of targets in a summary: about 0.7 KB every 250 ms.
@@ -40,7 +44,7 @@
 	known    []float64 // slowness of the members with recent reports
 	total    sums
 	recent   bool    // whether a target has recent reports
-	slowness float64 // median, 1 when unknown
+	slowness float64 // that of the best targets, 1 when unknown
 }
 
 // Summarize returns the load of the targets of groups at now. It forgets targets that are not among them. Groups must not be
@@ -104,8 +108,7 @@
 		s.recent = s.recent || age <= recentReports
 		s.total.responses += m.sums.responses
 		s.total.rejected += m.sums.rejected
-		s.total.recentResponses += m.sums.recentResponses
-		s.total.recentRejected += m.sums.recentRejected
+		s.total.recent = s.total.recent.plus(m.sums.recent, 1)
 		s.total.work += m.sums.work
 		s.total.urgentWork += m.sums.urgentWork
 	}
@@ -127,7 +130,7 @@
 			s.known = append(s.known, m.slowness)
 		}
 	}
-	s.slowness = median(s.known)
+	s.slowness = best(s.known)
 	for i := range s.members {
 		m := &s.members[i]
 		if m.slowness > 0 && m.age > recentReports {
@@ -140,21 +143,17 @@
 	// A sum that grows by r per second and decays comes to r x half-life / ln 2.
 	load := ServiceLoad{Service: name, Slowness: s.slowness, Slots: slots,
 		UrgentSlots: s.total.urgentWork * math.Ln2 / urgentHalfLife.Seconds()}
-	if requests := s.total.recentResponses + s.total.recentRejected; requests > 0 {
-		load.Rejected = s.total.recentRejected / requests
-	}
+	recent := s.total.recent
+	load.Rejected = rejectedShare(recent.responses, recent.rejected)
+	load.UrgentRejected = rejectedShare(recent.urgentResponses, recent.urgentRejected)
 	return load
 }
 
-// median returns the median of values, which it sorts, and 1 when there are none.
-func median(values []float64) float64 {
+// best returns the bestQuantile of values, which it sorts, and 1 when there are none.
+func best(values []float64) float64 {
 	if len(values) == 0 {
 		return 1
 	}
 	slices.Sort(values)
-	mid := len(values) / 2
-	if len(values)%2 == 1 {
-		return values[mid]
-	}
-	return (values[mid-1] + values[mid]) / 2
+	return values[int(bestQuantile*float64(len(values)-1))]
 }
--- a/core/targetload/table.go
+++ b/core/targetload/table.go
@@ -81,7 +81,7 @@
 	return min(max(ratio*ratio, minWeight), 1)
 }
 
-// ServiceSlowness returns the median slowness of the targets of a service, 1 when unknown.
+// ServiceSlowness returns the slowness of the best targets of a service, 1 when unknown.
 func (t *Table) ServiceSlowness(service string, now time.Duration) float64 {
 	if t.empty(now) {
 		return 1
--- a/core/targetload/types.go
+++ b/core/targetload/types.go
@@ -12,6 +12,8 @@
 	ID ID
 	// Responses is the number of responses, Rejected the number of requests that the target turned away because it was full.
 	Responses, Rejected uint32
+	// UrgentResponses and UrgentRejected are the parts of these of the most urgent routes.
+	UrgentResponses, UrgentRejected uint32
 	// Took is the sum of the response times, Work the sum of the times that the requests take at a target without a queue,
 	// rejected ones included. UrgentWork is the part of Work of the most urgent routes.
 	Took, Work, UrgentWork time.Duration
@@ -37,8 +39,9 @@
 // ServiceLoad is the load of the targets of a service.
 type ServiceLoad struct {
 	Service string
-	// Slowness is the median of the targets, Rejected the share of the requests that were rejected.
-	Slowness, Rejected float64
+	// Slowness is that of the best tenth of the targets, where new flows go. Rejected is the share of the requests that were
+	// rejected, UrgentRejected that of the requests of the most urgent routes.
+	Slowness, Rejected, UrgentRejected float64
 	// Slots is the number of slots of the targets, UrgentSlots the mean number that the requests of the most urgent routes
 	// occupy or would have occupied.
 	Slots, UrgentSlots float64
--- a/internal/feed/load.go
+++ b/internal/feed/load.go
@@ -60,7 +60,7 @@
 	for _, r := range reports[:min(len(reports), maxLoadEntries)] {
 		out = append(out, &feedpb.LoadReport{
 			Token: uint32(r.ID), Responses: r.Responses, Rejected: r.Rejected, TookMillis: roundMillis(r.Took), WorkMillis: roundMillis(r.Work),
-			UrgentWorkMillis: roundMillis(r.UrgentWork),
+			UrgentWorkMillis: roundMillis(r.UrgentWork), UrgentResponses: r.UrgentResponses, UrgentRejected: r.UrgentRejected,
 		})
 	}
 	return out
@@ -72,6 +72,7 @@
 		r := targetload.Report{
 			ID: targetload.ID(pb.Token), Responses: pb.Responses, Rejected: pb.Rejected, Took: fromMillis(pb.TookMillis),
 			Work: fromMillis(pb.WorkMillis), UrgentWork: fromMillis(pb.UrgentWorkMillis),
+			UrgentResponses: pb.UrgentResponses, UrgentRejected: pb.UrgentRejected,
 		}
 		if i >= maxLoadEntries || !validReport(r) {
 			malformed++
@@ -84,7 +85,7 @@
 
 func validReport(r targetload.Report) bool {
 	requests := uint64(r.Responses) + uint64(r.Rejected)
-	return requests > 0 && requests <= maxReported &&
+	return requests > 0 && requests <= maxReported && r.UrgentResponses <= r.Responses && r.UrgentRejected <= r.Rejected &&
 		r.Took <= time.Duration(r.Responses)*maxRequestTime && r.Work <= time.Duration(requests)*maxRequestTime && r.UrgentWork <= r.Work
 }
 
--- a/internal/feed/loadqueue.go
+++ b/internal/feed/loadqueue.go
@@ -47,6 +47,8 @@
 		sum.ID = r.ID
 		sum.Responses += r.Responses
 		sum.Rejected += r.Rejected
+		sum.UrgentResponses += r.UrgentResponses
+		sum.UrgentRejected += r.UrgentRejected
 		sum.Took += r.Took
 		sum.Work += r.Work
 		sum.UrgentWork += r.UrgentWork
--- a/internal/forwarder/load.go
+++ b/internal/forwarder/load.go
@@ -183,7 +183,7 @@
 			reported = true
 			load.UrgentSlots += group.UrgentSlots
 			if name == ownGroup || groups[0] != ownGroup {
-				load.Slowness, load.Rejected = max(load.Slowness, group.Slowness), max(load.Rejected, group.Rejected)
+				load.Slowness, load.Rejected = max(load.Slowness, group.Slowness), max(load.Rejected, group.UrgentRejected)
 			}
 		}
 		if reported {
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -74,7 +74,7 @@
 func loadReport(rejected uint32) feed.LoadReports {
 	reports := feed.LoadReports{Zone: "zone-a"}
 	for i := range loadTargets {
-		r := targetload.Report{ID: loadID(i), Responses: 10, Rejected: rejected, Took: 400 * time.Millisecond, Work: 400 * time.Millisecond, UrgentWork: 100 * time.Millisecond}
+		r := targetload.Report{ID: loadID(i), Responses: 10, Rejected: rejected, UrgentResponses: 5, UrgentRejected: rejected, Took: 400 * time.Millisecond, Work: 400 * time.Millisecond, UrgentWork: 100 * time.Millisecond}
 		if i == 0 {
 			r.Took *= 10
 		}
@@ -134,8 +134,9 @@
 	if pb == nil {
 		t.Fatal("the subscriber got no summary")
 	}
-	if pb.Zone != "zone-a" || len(pb.Targets) == 0 || pb.Targets[0].Token != uint32(loadID(0)) || len(pb.Services) != 1 ||
-		pb.Services[0].RejectedPermille == 0 || pb.Services[0].ReservedPermille == 0 {
+	if pb.Zone != "zone-a" || len(pb.Targets) == 0 || pb.Targets[0].Token != uint32(loadID(0)) || len(pb.Services) != 2 ||
+		pb.Services[0].Service != "desk@zone-a" || pb.Services[0].RejectedPermille == 0 ||
+		pb.Services[1].Service != "desk" || pb.Services[1].ReservedPermille == 0 {
 		t.Errorf("summary %v", pb)
 	}
 	if len(pb.Shares) != 1 || pb.Shares[0].Priority != 2 || pb.Shares[0].Permille >= 1000 {
@@ -339,7 +340,7 @@
 func TestAdmissionLoads(t *testing.T) {
 	c, _ := loadControlThread(t, feed.Reading)
 	summary := &targetload.Summary{Services: []targetload.ServiceLoad{
-		{Service: "desk@zone-a", Slowness: 2, Rejected: 0.1, Slots: 24, UrgentSlots: 3}, {Service: "desk@zone-b", Slowness: 1, UrgentSlots: 1},
+		{Service: "desk@zone-a", Slowness: 2, Rejected: 0.3, UrgentRejected: 0.1, Slots: 24, UrgentSlots: 3}, {Service: "desk@zone-b", Slowness: 1, UrgentSlots: 1},
 	}}
 	want := admission.Load{Service: "desk", Slowness: 2, Rejected: 0.1, Slots: 2 * loadTargets, UrgentSlots: 4, Targets: loadTargets, Priorities: []int{0, 2}}
 	load := func() admission.Load {
