forward, registry: let the least urgent routes with requests give way

Change: the less urgent routes are the least urgent ones with a tenth of the service's requests; before there are 20 requests, the configuration decides.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -205,7 +205,6 @@
 		f.requestProbe(&decision, first.load, f.snapshot.Targets[first.load.token], now)
 	}
 	load := f.routeLoad(header.Flow.Service)
-	load.urgent = f.isUrgent(route, header.Ack == 0, now)
 	f.expirePending(load, now)
 	if first == nil && !load.limit.allows(load.waiting, header.Ack) {
 		// Clients that are refused try again at once, three times in all, and most would fail within some
@@ -216,6 +215,7 @@
 	if service == nil {
 		return f.refuse(header, now, NoTarget)
 	}
+	load.setRoute(route, f.mix(service), f.urgent(route, service, now))
 	switch {
 	case first != nil:
 	case !load.urgent && !f.admits(route, service, now):
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -120,7 +120,7 @@
 	case r.failed(size, responseTime):
 		f.addFailure(state.load)
 	default:
-		f.recordWork(state.load, r, responseTime)
+		f.recordWork(state.load, r, responseTime, now)
 	}
 	r.responseSize.add(float64(size), median)
 	r.responseTime.add(float64(responseTime), responseQuantile)
--- a/core/forward/shared_load_test.go
+++ b/core/forward/shared_load_test.go
@@ -28,10 +28,10 @@
 	return snapshot
 }
 
-// recordFlows records new flows of a route to the same service with another priority.
-func recordFlows(f *Forwarder, priority, flows int, now time.Duration) {
-	for range flows {
-		f.isUrgent(&Route{Priority: priority, Backends: []Backend{{Service: f.snapshot.service()}}}, true, now)
+// recordRequests records requests to the same service with a priority.
+func recordRequests(f *Forwarder, priority, requests int, now time.Duration) {
+	for range requests {
+		f.mix(f.snapshot.service()).add(priority, now)
 	}
 }
 
@@ -156,7 +156,8 @@
 		snapshot := loadedSnapshot(40, urgent)
 		f := testForwarder(snapshot)
 		f.SetLoad(nil, admission.NewGate(policy, 0))
-		recordFlows(f, 1, 1000, 0)
+		recordRequests(f, 1, 1000, 0)
+		recordRequests(f, 2, 1000, 0)
 		_, targets := placements(f, 2000, 0)
 		reserved, all := 0, 0
 		for _, target := range snapshot.service().Local {
@@ -189,7 +190,8 @@
 		}
 	}
 	f.SetLoad(targetload.NewTable(summary, 0), admission.NewGate(admission.Policy{Reservations: []admission.Reservation{{Service: "desk", Fraction: fraction}}}, 0))
-	recordFlows(f, 1, 1000, 0)
+	recordRequests(f, 1, 1000, 0)
+	recordRequests(f, 2, 1000, 0)
 	_, targets := placements(f, 2000, 0)
 	reserved, all := 0, 0
 	for token, n := range targets {
@@ -205,24 +207,28 @@
 
 // Guards against less urgent flows that take the capacity that urgent ones need, and against a policy that outlives its sender.
 func TestLessUrgentFlowsGiveWay(t *testing.T) {
-	policy := admission.Policy{Shares: []admission.Share{{Service: "desk", Priority: 2, Admitted: 0.25}}}
+	policy := admission.Policy{Shares: []admission.Share{{Service: "desk", Priority: 2, Admitted: 0.25}, {Service: "desk", Priority: 1, Admitted: 0.25}}}
 	for name, test := range map[string]struct {
-		priority, other, otherFlows int
-		now                         time.Duration
-		min, max                    int
+		priority int
+		requests map[int]int
+		now      time.Duration
+		min, max int
 	}{
-		"less urgent": {2, 1, 1000, time.Second, 200, 300},
-		"urgent":      {1, 2, 1000, time.Second, 1000, 1000},
-		// Operators' checks of a route are a few flows with the most urgent priority.
-		"the most urgent with requests":          {1, 0, 50, time.Second, 1000, 1000},
-		"the most urgent of the active routes":   {2, 1, 0, time.Second, 1000, 1000},
-		"less urgent, without the zone's reader": {2, 1, 1000, 10 * time.Second, 1000, 1000},
+		"less urgent":            {2, map[int]int{1: 300, 2: 700}, time.Second, 200, 300},
+		"urgent":                 {1, map[int]int{1: 300, 2: 700}, time.Second, 1000, 1000},
+		"less urgent in a flood": {2, map[int]int{1: 20, 2: 5000}, time.Second, 200, 300},
+		"urgent in a flood":      {1, map[int]int{1: 20, 2: 5000}, time.Second, 1000, 1000},
+		// Operators check routes with a few requests of the most urgent priority.
+		"urgent beside a few more urgent ones":   {1, map[int]int{0: 30, 1: 300, 2: 700}, time.Second, 1000, 1000},
+		"less urgent, without the zone's reader": {2, map[int]int{1: 300, 2: 700}, 10 * time.Second, 1000, 1000},
 	} {
 		snapshot := loadedSnapshot(10, true)
 		snapshot.Routes[deskAddr].Priority = test.priority
 		f := testForwarder(snapshot)
 		f.SetLoad(nil, admission.NewGate(policy, 0))
-		recordFlows(f, test.other, test.otherFlows, test.now)
+		for priority, requests := range test.requests {
+			recordRequests(f, priority, requests, test.now)
+		}
 		zones, _ := placements(f, 1000, test.now)
 		if n := zones["zone-a"] + zones["zone-b"]; n < test.min || n > test.max {
 			t.Errorf("%s: %d of 1,000 flows are placed, want %d to %d", name, n, test.min, test.max)
--- a/core/forward/snapshot.go
+++ b/core/forward/snapshot.go
@@ -68,8 +68,10 @@
 	MaxResponseTime time.Duration
 	// LatencyObjective is the time in which a request should be answered; 0 means that there is none.
 	LatencyObjective time.Duration
-	// Priority is 0 for the most urgent flows.
-	Priority int
+	// Priority is 0 for the most urgent flows. LeastUrgent is true if another route to the same services has a more urgent
+	// priority, and none a less urgent one.
+	Priority    int
+	LeastUrgent bool
 }
 
 // SetLatencyObjective sets the response time above which new flows are limited. urgent is true for routes whose
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -130,6 +130,7 @@
 			continue
 		}
 		route := &forward.Route{Name: configured.Name, Priority: configured.Priority}
+		route.LeastUrgent = r.config.leastUrgent(configured)
 		route.SetLatencyObjective(configured.LatencyObjective, r.config.urgent(configured))
 		for _, b := range configured.Backends {
 			if s := services[b.Service]; s != nil && b.Weight > 0 {
@@ -153,6 +154,22 @@
 	return true
 }
 
+// leastUrgent reports whether another route to the same services has a more urgent priority, and none a less urgent one.
+func (c *Config) leastUrgent(route *Route) bool {
+	others := false
+	for i := range c.Routes {
+		other := &c.Routes[i]
+		if other.Priority == route.Priority || !sharesService(other.Backends, route.Backends) {
+			continue
+		}
+		if other.Priority > route.Priority {
+			return false
+		}
+		others = true
+	}
+	return others
+}
+
 func sharesService(a, b []Backend) bool {
 	return slices.ContainsFunc(a, func(x Backend) bool {
 		return slices.ContainsFunc(b, func(y Backend) bool { return x.Service == y.Service })
