forward: offer flows that give way to other zones with capacity

Cause: the zone with the most callers refused flows while the other zones had capacity, since its own targets answered soon enough after the refusals.

Change: half of the flows that give way in their zone go to another one whose targets neither have queues nor reject requests, as far as the zone's own flows there show.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -216,15 +216,16 @@
 		return f.refuse(header, now, NoTarget)
 	}
 	load.setRoute(route, f.mix(service), f.urgent(route, service, now))
-	switch {
-	case first != nil:
-	case !load.urgent && !f.admits(route, service, now):
-		return f.refuse(header, now, LessUrgent)
-	case !f.linkAdmits(load, now):
+	flow := f.newFlow(route, service, load, first, now)
+	if first == nil && !f.linkAdmits(load, now) {
 		return Decision{Reason: LinkFull}
 	}
 	f.trackReach(service, first, header.Ack, now)
-	decision.Target, decision.Reason = f.place(service, f.newFlow(route, service, load, first, now), now)
+	if first == nil && !load.urgent && !f.admits(route, service, now) {
+		decision.Target, decision.Reason = f.placeElsewhere(service, flow, now), LessUrgent
+	} else {
+		decision.Target, decision.Reason = f.place(service, flow, now)
+	}
 	switch {
 	case decision.Target == nil && decision.Reason == ColdLimit && f.coldBudgetAllowsCopy(service, now):
 		return decision
@@ -234,6 +235,8 @@
 		return refused
 	case header.Ack > 0:
 		decision.Reason = PlacedAgain
+	default:
+		decision.Reason = Placed
 	}
 	decision.Action = Forward
 	f.recordSYN(header.Flow, decision.Target, now)
--- a/core/forward/shared_load_test.go
+++ b/core/forward/shared_load_test.go
@@ -224,6 +224,7 @@
 	} {
 		snapshot := loadedSnapshot(10, true)
 		snapshot.Routes[deskAddr].Priority = test.priority
+		snapshot.service().Remote = nil
 		f := testForwarder(snapshot)
 		f.SetLoad(nil, admission.NewGate(policy, 0))
 		for priority, requests := range test.requests {
@@ -235,3 +236,27 @@
 		}
 	}
 }
+
+// Guards against flows that are refused in the zone with the most callers while other zones have capacity, and against flows that are
+// sent to a zone that rejects them.
+func TestFlowsThatGiveWayGoElsewhere(t *testing.T) {
+	policy := admission.Policy{Shares: []admission.Share{{Service: "desk", Priority: 2, Admitted: 0.1}}}
+	for name, test := range map[string]struct {
+		slowness, rejected float64
+		min, max           int
+	}{
+		"an idle zone":        {1, 0, 350, 550},
+		"a loaded zone":       {4, 0, 0, 0},
+		"a zone that rejects": {1, 0.1, 0, 0},
+	} {
+		f := testForwarder(loadedSnapshot(40, false))
+		summary := groupLoad("zone-b", test.slowness, test.rejected)
+		f.SetLoad(targetload.NewTable(summary, 0), admission.NewGate(policy, 0))
+		recordRequests(f, 1, 300, 0)
+		recordRequests(f, 2, 700, 0)
+		zones, _ := placements(f, 1000, 0)
+		if n := zones["zone-b"]; n < test.min || n > test.max {
+			t.Errorf("%s: %d of 1,000 flows go there, want %d to %d", name, n, test.min, test.max)
+		}
+	}
+}
