admission: less urgent priorities keep a quarter of their new flows

Cause: with a floor of a tenth, 27% of the less urgent requests were admitted within their three attempts while targets had capacity.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -12,8 +12,9 @@
 	shortRejected   = 0.02
 	relaxedRejected = 0.005
 
-	// floorShare is the share that each less urgent priority keeps, however short capacity is.
-	floorShare = 0.1
+	// floorShare is the share that each less urgent priority keeps, however short capacity is. With three attempts, more than half of
+	// its requests are then still admitted.
+	floorShare = 0.25
 
 	// updateInterval is the time between two calls of Update that the rates of change are stated for.
 	updateInterval = 250 * time.Millisecond
