admission: a test of the gate with a share above the floor

Cause: the test took a share of a tenth, which is below the floor of a quarter now and therefore raised. Change: the share is 0.3; the draws around it are as close as before.

--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -10,7 +10,7 @@
 
 func testGate() *Gate {
 	return NewGate(Policy{
-		Shares:       []Share{{"a", 1, 0.5}, {"a", 2, 0.1}, {"b", 2, 0.25}},
+		Shares:       []Share{{"a", 1, 0.5}, {"a", 2, 0.3}, {"b", 2, 0.25}},
 		Reservations: []Reservation{{"a", 0.2}, {"c", 0.3}},
 	}, gateTime)
 }
@@ -24,7 +24,7 @@
 		draw     float64
 		want     bool
 	}{
-		{"a", 0, 0.999, true}, {"a", 1, 0.499, true}, {"a", 1, 0.5, false}, {"a", 2, 0.0999, true}, {"a", 2, 0.1, false},
+		{"a", 0, 0.999, true}, {"a", 1, 0.499, true}, {"a", 1, 0.5, false}, {"a", 2, 0.2999, true}, {"a", 2, 0.3, false},
 		{"a", 3, 0.999, true}, {"b", 1, 0.999, true}, {"b", 2, 0.3, false}, {"c", 2, 0.999, true}, {"d", 2, 0.999, true},
 		{"a", 2, math.NaN(), true},
 	} {
