forward: start a new size sample with each request of a flow state

Cause: the state of a removed flow is used again for the next flow. If a request was aborted while its size was measured, the size of the next request on the same state was added to it.

Change: the first packet of a request restarts the sample of its state.

Measured: TestRequestSampleEndsWithItsFlow failed before (requests of 12,000 bytes counted as large) and passes now, as do the other tests of core/forward.

--- a/core/forward/uploads.go
+++ b/core/forward/uploads.go
@@ -65,7 +65,8 @@
 	}
 	sample := &u.sample
 	switch {
-	case first && (sample.state == nil || now-sample.since >= maxSampleTime):
+	case first && (sample.state == nil || sample.state == state || now-sample.since >= maxSampleTime):
+		// A new request of the same state means that the sampled one was not answered: states of removed flows are used again.
 		*sample = requestSample{state: state, since: now, bytes: int(header.Length)}
 	case sample.state == state:
 		sample.bytes += int(header.Length)
--- a/core/forward/uploads_test.go
+++ b/core/forward/uploads_test.go
@@ -99,3 +99,31 @@
 		}
 	}
 }
+
+// Guards against sizes that add up the requests of two flows: the state of a removed flow is used again for the next one, so that two
+// requests of 12,000 bytes looked like one of 24,000 and limited a route without large requests.
+func TestRequestSampleEndsWithItsFlow(t *testing.T) {
+	snapshot := testSnapshot(1)
+	f := testForwarder(snapshot)
+	token := snapshot.service().Local[0].Token
+	send := func(flow Flow, now time.Duration) {
+		for i := range 10 {
+			packet := data(flow, token, uint32(i*1200), 900)
+			packet.Length = 1200
+			f.Handle(packet, now)
+		}
+	}
+	for i := range 5 {
+		now := time.Duration(i) * 10 * time.Second
+		aborted, answered := testFlow(2*i), testFlow(2*i+1)
+		send(aborted, now)
+		reset := ack(aborted, token, 900)
+		reset.Flags |= RST
+		f.Handle(reset, now)
+		send(answered, now+100*time.Millisecond)
+		f.Handle(ack(answered, token, 1200), now+200*time.Millisecond)
+	}
+	if f.routeLoad(deskAddr).uploads.stats.Large() {
+		t.Error("a route with requests of 12,000 bytes counts as one with large requests")
+	}
+}
