forward: measure requests by their sequence numbers

Cause: each packet of a request that is not the newest one added its length to the request's size, so that a window that was sent again counted twice. Routes with small requests would be limited as uploads on a link that loses packets.

Change: the size is the distance from the first byte to the last one.

Measured: TestRequestSizeIgnoresRetransmissions failed before (requests of 12,000 bytes, each sent twice, counted as large) and passes now, as do the other tests of core/forward.

--- a/core/forward/uploads.go
+++ b/core/forward/uploads.go
@@ -22,7 +22,9 @@
 type requestSample struct {
 	state *flowState
 	since time.Duration
-	bytes int
+	// firstSeq is the sequence number of the request's first byte, bytes the size up to the last byte seen.
+	firstSeq uint32
+	bytes    int
 }
 
 // SetLinkCapacity sets the capacity of the VM's link in bits per second; 0 means that it is not known, and nothing is limited.
@@ -67,9 +69,10 @@
 	switch {
 	case first && (sample.state == nil || sample.state == state || now-sample.since >= maxSampleTime):
 		// A new request of the same state means that the sampled one was not answered: states of removed flows are used again.
-		*sample = requestSample{state: state, since: now, bytes: int(header.Length)}
+		*sample = requestSample{state: state, since: now, firstSeq: header.Seq, bytes: int(header.Length)}
 	case sample.state == state:
-		sample.bytes += int(header.Length)
+		// Retransmitted data must not count again. Sequence numbers wrap around.
+		sample.bytes = max(sample.bytes, int(int32(header.Seq-sample.firstSeq))+int(header.Length))
 	}
 }
 
--- a/core/forward/uploads_test.go
+++ b/core/forward/uploads_test.go
@@ -127,3 +127,26 @@
 		t.Error("a route with requests of 12,000 bytes counts as one with large requests")
 	}
 }
+
+// Guards against sizes that count retransmitted data again: clients on a busy link resend a whole window, and their small requests would
+// be limited as large ones.
+func TestRequestSizeIgnoresRetransmissions(t *testing.T) {
+	snapshot := testSnapshot(1)
+	f := testForwarder(snapshot)
+	token := snapshot.service().Local[0].Token
+	for i := range 5 {
+		flow, now := testFlow(i), time.Duration(i)*10*time.Second
+		for range 2 {
+			for j := range 10 {
+				packet := data(flow, token, uint32(j*1200), 900)
+				packet.Length = 1200
+				f.Handle(packet, now)
+			}
+			now += 200 * time.Millisecond
+		}
+		f.Handle(ack(flow, token, 1200), now)
+	}
+	if f.routeLoad(deskAddr).uploads.stats.Large() {
+		t.Error("a route with requests of 12,000 bytes counts as one with large requests")
+	}
+}
