forward: keep flows without a latency objective in their zone

Cause: the margin for leaving a zone is a part of the latency objective. Without one it was 0, and a part of the flows left the zone for any difference, although traffic between zones is charged for and such deployments are to be served as before.

Change: only flows of routes with a latency objective leave.

--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -109,9 +109,10 @@
 }
 
 // leavesZone reports whether a flow goes to another zone, because its targets respond sooner. The probability rises with the
-// difference, so that the VMs of a zone do not all leave it at the same time.
+// difference, so that the VMs of a zone do not all leave it at the same time. Flows of routes without a latency objective stay, as
+// nothing tells from which difference on it matters.
 func (f *Forwarder) leavesZone(local, remote candidate, flow newFlow) bool {
-	if flow.work == 0 || remote.suspected {
+	if flow.work == 0 || flow.latencyObjective == 0 || remote.suspected {
 		return false
 	}
 	margin := remoteMargin * float64(flow.latencyObjective)
--- a/core/forward/shared_load_test.go
+++ b/core/forward/shared_load_test.go
@@ -260,3 +260,16 @@
 		}
 	}
 }
+
+// Guards against traffic between zones, which is charged for, in deployments without latency objectives: they are served as before.
+func TestFlowsStayWithoutLatencyObjective(t *testing.T) {
+	f := testForwarder(loadedSnapshot(40, true))
+	f.snapshot.Routes[deskAddr].SetLatencyObjective(0, true)
+	learnWork(f)
+	summary := groupLoad("zone-a", 1.5, 0)
+	summary.Services = append(summary.Services, groupLoad("zone-b", 1, 0).Services...)
+	f.SetLoad(targetload.NewTable(summary, 0), nil)
+	if zones, _ := placements(f, 1000, 0); zones["zone-b"] > 0 {
+		t.Errorf("%d of 1,000 flows leave the zone, want none", zones["zone-b"])
+	}
+}
