forward: learn that responses have become shorter while targets are full

Cause: a short response of a loaded target counts as a rejection and did not change the typical size of the route's responses. If the responses became shorter while a service rejected requests, each of them counted as a rejection, and these kept the service loaded, for ever.

Change: from 100 rejections in a row on, short responses change the typical size.

--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -116,12 +116,16 @@
 	switch {
 	case r.short(size) && f.loaded(state.target, now):
 		f.addRejection(state.load, r, now)
+		if r.rejectedInRow++; r.rejectedInRow > maxRejectedInRow {
+			r.responseSize.add(float64(size), median)
+		}
 		return
 	case r.failed(size, responseTime):
 		f.addFailure(state.load)
 	default:
 		f.recordWork(state.load, r, responseTime, now)
 	}
+	r.rejectedInRow = 0
 	r.responseSize.add(float64(size), median)
 	r.responseTime.add(float64(responseTime), responseQuantile)
 	if route := f.snapshot.Routes[header.Flow.Service]; route != nil && route.MaxResponseTime > 0 {
--- a/core/forward/route_load.go
+++ b/core/forward/route_load.go
@@ -27,7 +27,9 @@
 	// responseTime is the upper quartile of the times from the last data of a request to its response, in
 	// nanoseconds, responseSize the median of the data that clients acknowledge first, in bytes.
 	responseTime, responseSize quantile
-	limit                      concurrencyLimit
+	// rejectedInRow is the number of short responses that counted as rejections since the last response that did not.
+	rejectedInRow int
+	limit         concurrencyLimit
 	// work estimates the time that a request takes at a target without a queue.
 	work    targetload.WorkEstimator
 	uploads uploads
--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -15,6 +15,10 @@
 	// many requests end as a full queue holds.
 	minFullTime = 100 * time.Millisecond
 	maxFullTime = time.Second
+	// maxRejectedInRow is the number of short responses in a row from which on they change the typical size of a route's responses.
+	// The responses may have become shorter; as each would count as a rejection, and rejections show that targets are full, that
+	// would never end. A service that still answers 5% of the requests rejects 100 in a row with a probability of 0.6%.
+	maxRejectedInRow = 100
 	// reservedWeight is the weight of reserved targets for flows that are not urgent. If none of a sample is chosen by its weight, a
 	// target that is not reserved is preferred, even if it is full.
 	reservedWeight = 1.0 / 64
