forward: end the initial reservation after 10 s without a policy

Cause: before the first policy a fifth of the targets is reserved. In a zone without a reader, or with one of an earlier release, no policy ever arrives, and less urgent flows were kept off these targets for ever, although they were free.

Change: the initial reservation holds for 10 s from the first flow on, as long as any reservation without a reader.

--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -22,6 +22,9 @@
 	// reservedWeight is the weight of reserved targets for flows that are not urgent. If none of a sample is chosen by its weight, a
 	// target that is not reserved is preferred, even if it is full.
 	reservedWeight = 1.0 / 64
+	// maxInitialReservation is how long targets are reserved without a policy. The first responses lead to one after about 1.5 s,
+	// unless the zone has no reader, or one with an earlier release. It is the time for which reservations hold without a reader.
+	maxInitialReservation = 10 * time.Second
 	// remoteMargin is the part of a route's latency objective by which the response time must be shorter in another zone before a
 	// flow goes there.
 	remoteMargin = 1.0 / 8
@@ -39,8 +42,10 @@
 	table     *targetload.Table
 	gate      *admission.Gate
 	collector targetload.Collector
-	// priorities are the priorities of the new flows by service.
+	// priorities are the priorities of the requests by service.
 	priorities map[string]*priorityMix
+	// reservedSince is when a flow was first placed with the initial reservation; 0 if none was.
+	reservedSince time.Duration
 }
 
 // SetLoad replaces the load of targets and the admission policy of this VM's zone. Both may be nil.
@@ -77,15 +82,20 @@
 }
 
 // reservedFraction returns the part of a service's targets that is reserved for urgent flows. Before the first policy it is the
-// initial one.
+// initial one, for maxInitialReservation.
 func (f *Forwarder) reservedFraction(service *Service, now time.Duration) float64 {
 	switch {
 	case f.shared.gate != nil:
 		return f.shared.gate.ReservedFraction(service.Name, now)
-	case service.Prioritized && len(service.Local) >= admission.MinReservedTargets:
-		return admission.InitialReservation
+	case !service.Prioritized || len(service.Local) < admission.MinReservedTargets:
+		return 0
+	case f.shared.reservedSince == 0:
+		f.shared.reservedSince = now
 	}
-	return 0
+	if now-f.shared.reservedSince > maxInitialReservation {
+		return 0
+	}
+	return admission.InitialReservation
 }
 
 // admits reports whether a new flow that is not urgent may be placed now, or gives way to more urgent ones of the service.
