forward: never confine a route that has nothing to give way to

Cause: a route was urgent only if less urgent ones had a tenth of the requests. The flows of the most urgent route of a service were kept off the reserved targets as soon as it had more than nine tenths of the requests at a VM, which can also be chance when the VM has seen 20.

Change: a route is urgent too while no more urgent one sends requests, unless it is the least urgent one of the configuration.

--- a/core/forward/urgency.go
+++ b/core/forward/urgency.go
@@ -44,26 +44,37 @@
 	c.requests, c.at = c.count(now)+1, now
 }
 
-// urgent reports whether a priority is more urgent than the least urgent ones that have minLessUrgentShare of the requests. Counted
-// from the other end, a flood of less urgent requests would make them urgent. ok is false while there are too few requests.
-func (m *priorityMix) urgent(priority int, now time.Duration) (urgent, ok bool) {
-	total, lessUrgent := 0.0, 0.0
+// priorityShares are numbers of recent requests of a service.
+type priorityShares struct {
+	total float64
+	// moreUrgent and lessUrgent are those of more and of less urgent priorities than a given one.
+	moreUrgent, lessUrgent float64
+}
+
+// shares returns the numbers of requests compared with a priority.
+func (m *priorityMix) shares(priority int, now time.Duration) (s priorityShares) {
 	for i := range m.entries {
 		n := m.entries[i].count(now)
-		total += n
-		if m.entries[i].priority > priority {
-			lessUrgent += n
+		s.total += n
+		switch p := m.entries[i].priority; {
+		case p > priority:
+			s.lessUrgent += n
+		case p < priority:
+			s.moreUrgent += n
 		}
 	}
-	return lessUrgent >= minLessUrgentShare*total, total >= minMixedRequests
+	return s
 }
 
-// urgent reports whether the flows of a route to a service are urgent: those of other routes give way to them.
+// urgent reports whether the flows of a route to a service are urgent: those of other routes give way to them. With enough requests, a
+// route is urgent if it is more urgent than the least urgent ones that have minLessUrgentShare of the requests. Counted from the other
+// end, a flood of less urgent requests would make them urgent. A route is also urgent if there is nothing that it could give way to.
 func (f *Forwarder) urgent(route *Route, service *Service, now time.Duration) bool {
-	if urgent, ok := f.mix(service).urgent(route.Priority, now); ok {
-		return urgent
+	s := f.mix(service).shares(route.Priority, now)
+	if s.total < minMixedRequests {
+		return !route.LeastUrgent
 	}
-	return !route.LeastUrgent
+	return s.lessUrgent >= minLessUrgentShare*s.total || s.moreUrgent < 1 && !route.LeastUrgent
 }
 
 // mix returns the requests of a service by priority.
