forward: forget the requests of services without routes

Cause: the numbers of requests by priority were kept for each service of all configurations since the start.

Change: Install removes those of services that no route sends flows to.

Measured: TestMixesOfRemovedServicesEnd, 100 services kept after 100 renames before, at most 2 now.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -87,6 +87,7 @@
 			delete(f.routeLoads, service)
 		}
 	}
+	f.removeUnusedMixes()
 	return f.resetPending(exited...)
 }
 
--- a/core/forward/urgency.go
+++ b/core/forward/urgency.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -86,3 +87,14 @@
 	}
 	return mix
 }
+
+// removeUnusedMixes removes the requests of services that the snapshot has no route to.
+func (f *Forwarder) removeUnusedMixes() {
+	used := map[string]bool{}
+	for _, route := range f.snapshot.Routes {
+		for i := range route.Backends {
+			used[route.Backends[i].Service.Name] = true
+		}
+	}
+	maps.DeleteFunc(f.shared.priorities, func(service string, _ *priorityMix) bool { return !used[service] })
+}
--- a/core/forward/urgency_test.go
+++ b/core/forward/urgency_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/mangoweir/mangoweir/core/admission"
@@ -53,3 +54,17 @@
 		}
 	}
 }
+
+// Guards against state that grows with the services of all configurations so far.
+func TestMixesOfRemovedServicesEnd(t *testing.T) {
+	f := testForwarder(loadedSnapshot(2, true))
+	for i := range 100 {
+		snapshot := loadedSnapshot(2, true)
+		snapshot.service().Name = fmt.Sprintf("desk-%d", i)
+		f.Install(snapshot)
+		placements(f, 1, 0)
+	}
+	if n := len(f.shared.priorities); n > 2 {
+		t.Errorf("the requests of %d services are kept, want those of the current one", n)
+	}
+}
