forward, forwarder: a full target is not silent while its zone accepts connections

Cause: a probe whose connection was reset counted as silent if this VM had seen no answer of the zone within a second. A VM with few flows sees none for seconds, and reset the flows of a full target that was working on their requests.

Change: after a reset the probe connects to other targets of the zone. If one accepts, the result is full, and no flow is reset. The row of TestProbeOfFullTarget that expected a reset there now expects full, which is stricter: HandleProbe could take the former for silent.

--- a/core/forward/exited_test.go
+++ b/core/forward/exited_test.go
@@ -106,6 +106,11 @@
 			convey.So(f.HandleProbe(full, ConnectionReset, 250*time.Millisecond), convey.ShouldBeEmpty)
 			convey.So(f.Handle(request, 600*time.Millisecond).Action, convey.ShouldEqual, Forward)
 		})
+		convey.Convey("a reset connection resets nothing on a VM with few flows either, if another target accepts connections", func() {
+			now := 20*time.Millisecond + zoneAnswerTime
+			convey.So(f.HandleProbe(full, Full, now), convey.ShouldBeEmpty)
+			convey.So(f.Handle(request, now).Action, convey.ShouldEqual, Forward)
+		})
 		convey.Convey("once the zone has not answered for zoneAnswerTime, the target counts as silent", func() {
 			now := 20*time.Millisecond + zoneAnswerTime
 			convey.So(f.HandleProbe(full, ConnectionReset, now), convey.ShouldBeEmpty)
--- a/core/forward/liveness.go
+++ b/core/forward/liveness.go
@@ -24,13 +24,16 @@
 	// Unclear means that neither the target nor another one answered. This VM itself may be cut off,
 	// overloaded, or sending more than the capacity of its link.
 	Unclear
-	// ConnectionReset means that the target's machine reset the connection: the target runs and is at its connection
-	// limit, or the network between the two resets connections.
+	// ConnectionReset means that the target's machine reset the connection and no other target of its zone accepted one: the
+	// target runs and is at its connection limit, or the network between the two resets connections.
 	ConnectionReset
+	// Full means that the target's machine reset the connection while another target of its zone accepted one, so the
+	// target runs and is at its connection limit.
+	Full
 )
 
 // probeResults are the names of results in logs and metrics.
-var probeResults = [...]string{"alive", "ended", "silent", "unclear", "reset"}
+var probeResults = [...]string{"alive", "ended", "silent", "unclear", "reset", "full"}
 
 // NumProbeResults is the number of results.
 const NumProbeResults = len(probeResults)
@@ -119,7 +122,7 @@
 		return nil
 	}
 	switch result {
-	case Alive:
+	case Alive, Full:
 		l.endedUntil, l.silentUntil = 0, 0
 		return nil
 	case ConnectionReset:
--- a/internal/forwarder/probe.go
+++ b/internal/forwarder/probe.go
@@ -79,12 +79,14 @@
 // runProbe probes a target. While this VM or its link is overloaded, no target answers in time. The target
 // therefore counts as silent only if the reference target accepts a connection during the second attempt.
 // It counts as ended only if a process listens at another target of its zone, as a zone that is cut off may
-// refuse all connections.
+// refuse all connections. It counts as full only if another target of its zone accepts one, as a network fault may reset them.
 func runProbe(dial dialFunc, request forward.ProbeRequest) (forward.ProbeResult, error) {
 	result, err := connect(dial, request.Target, firstProbeTimeout)
 	switch {
 	case result == forward.Ended && !anyListens(dial, request.SameZoneTargets):
 		return forward.Silent, err
+	case result == forward.ConnectionReset && anyAccepts(dial, request.SameZoneTargets):
+		return forward.Full, err
 	case result != forward.Silent:
 		return result, err
 	}
--- a/internal/forwarder/probe_test.go
+++ b/internal/forwarder/probe_test.go
@@ -99,7 +99,8 @@
 
 // Guards against flows of a running target that are reset because the target is at its connection limit and resets new
 // connections: on days with too little room, 13 of 13 targets that were taken for ended were full. A closed port must
-// still be found when all other targets of the zone are full.
+// still be found when all other targets of the zone are full. A VM with few flows sees no answers of the zone for seconds, so that the
+// probe itself must show that the zone answers.
 func TestProbeOfFullTarget(t *testing.T) {
 	full, closed, alive := targetAt(t, "10.0.0.1:80"), targetAt(t, "10.0.0.2:80"), targetAt(t, "10.0.0.3:80")
 	dial := dialErrors(map[string]syscall.Errno{"10.0.0.1:80": syscall.ECONNRESET, "10.0.0.2:80": syscall.ECONNREFUSED})
@@ -107,7 +108,8 @@
 		request forward.ProbeRequest
 		want    forward.ProbeResult
 	}{
-		"a full target while another one of the zone accepts": {forward.ProbeRequest{Target: full, SameZoneTargets: []*forward.Target{alive}}, forward.ConnectionReset},
+		"a full target while another one of the zone accepts": {forward.ProbeRequest{Target: full, SameZoneTargets: []*forward.Target{closed, alive}}, forward.Full},
+		"a zone that resets all connections":                  {forward.ProbeRequest{Target: full, SameZoneTargets: []*forward.Target{full}}, forward.ConnectionReset},
 		"the only target of its zone, which is full":          {forward.ProbeRequest{Target: full}, forward.ConnectionReset},
 		"a closed port while the rest of the zone is full":    {forward.ProbeRequest{Target: closed, SameZoneTargets: []*forward.Target{full}}, forward.Ended},
 	} {
