forwarder: check the zone after the second attempt of a probe too

Cause: a target that refused the second attempt of a probe counted as ended without a look at the rest of its zone. When a zone is cut off between the two attempts, the flows of running targets were reset. A reset at the second attempt did not find a full target either.

Change: both attempts check other targets of the zone.

Measured: TestSecondProbeAttemptChecksZone, 2 of 5 cases failed before, none now.

--- a/internal/forwarder/probe.go
+++ b/internal/forwarder/probe.go
@@ -82,13 +82,8 @@
 // refuse all connections. It counts as full only if another target of its zone accepts one, as a network fault may reset them.
 func runProbe(dial dialFunc, request forward.ProbeRequest) (forward.ProbeResult, error) {
 	result, err := connect(dial, request.Target, firstProbeTimeout)
-	switch {
-	case result == forward.Ended && !anyListens(dial, request.SameZoneTargets):
-		return forward.Silent, err
-	case result == forward.ConnectionReset && anyAccepts(dial, request.SameZoneTargets):
-		return forward.Full, err
-	case result != forward.Silent:
-		return result, err
+	if result != forward.Silent {
+		return checkZone(dial, result, request.SameZoneTargets), err
 	}
 	reference := make(chan forward.ProbeResult, 1)
 	go func() {
@@ -104,7 +99,18 @@
 	if result == forward.Silent && <-reference != forward.Alive {
 		return forward.Unclear, err
 	}
-	return result, err
+	return checkZone(dial, result, request.SameZoneTargets), err
+}
+
+// checkZone corrects the result of a connection attempt by attempts to connect to other targets of the same zone.
+func checkZone(dial dialFunc, result forward.ProbeResult, others []*forward.Target) forward.ProbeResult {
+	switch {
+	case result == forward.Ended && !anyListens(dial, others):
+		return forward.Silent
+	case result == forward.ConnectionReset && anyAccepts(dial, others):
+		return forward.Full
+	}
+	return result
 }
 
 // anyAccepts reports whether at least one of the targets accepts connections.
--- a/internal/forwarder/probe_test.go
+++ b/internal/forwarder/probe_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -118,3 +119,36 @@
 		}
 	}
 }
+
+// Guards against flows of running targets that are reset because their zone is cut off between the two attempts of a probe and refuses
+// the second one.
+func TestSecondProbeAttemptChecksZone(t *testing.T) {
+	target, closed, alive := targetAt(t, "10.0.0.1:80"), targetAt(t, "10.0.0.2:80"), targetAt(t, "10.0.0.3:80")
+	for name, test := range map[string]struct {
+		second syscall.Errno
+		others []*forward.Target
+		want   forward.ProbeResult
+	}{
+		"refused in a zone that refuses all connections":    {syscall.ECONNREFUSED, []*forward.Target{closed}, forward.Silent},
+		"refused while another target of the zone accepts":  {syscall.ECONNREFUSED, []*forward.Target{alive}, forward.Ended},
+		"reset while another target of the zone accepts":    {syscall.ECONNRESET, []*forward.Target{alive}, forward.Full},
+		"reset while no other target of the zone does":      {syscall.ECONNRESET, []*forward.Target{closed}, forward.ConnectionReset},
+		"no answer while the reference accepts connections": {syscall.ETIMEDOUT, []*forward.Target{alive}, forward.Silent},
+	} {
+		var attempts atomic.Int32
+		dial := func(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+			errs := map[string]syscall.Errno{"10.0.0.2:80": syscall.ECONNREFUSED}
+			if addr == "10.0.0.1:80" {
+				errs[addr] = test.second
+				if attempts.Add(1) == 1 {
+					errs[addr] = syscall.ETIMEDOUT
+				}
+			}
+			return dialErrors(errs)(ctx, addr, timeout)
+		}
+		request := forward.ProbeRequest{Target: target, Reference: alive, SameZoneTargets: test.others}
+		if got, err := runProbe(dial, request); got != test.want {
+			t.Errorf("%s: %s (%v), want %s", name, got, err, test.want)
+		}
+	}
+}
