forward: count requests with the priority of their route and for their service

Cause: a VM knew the priority of a route, and the service whose requests it counts, only from the last new flow that it placed. After a start, or when routers distribute flows anew, urgent requests on open flows were reported as not urgent, and no request counted. A route to two services counted all requests for the one that its last flow went to.

Measured: TestRequestsOnOpenFlowsHavePriority (no urgent work in 1.68 s of it) and TestRequestsCountForTheirService (30 and 0 requests instead of 10 and 20) failed before and pass now.

--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -113,6 +113,7 @@
 // recordResponse updates the statistics and the limit of a route by the first acknowledgement of a response.
 func (f *Forwarder) recordResponse(header *Header, state *flowState, now time.Duration) {
 	r, size, responseTime := state.route, header.Ack-state.ack, now-state.sentAt
+	route := f.snapshot.Routes[header.Flow.Service]
 	switch {
 	case r.short(size) && f.loaded(state.target, now):
 		f.addRejection(state.load, r, now)
@@ -123,12 +124,15 @@
 	case r.failed(size, responseTime):
 		f.addFailure(state.load)
 	default:
-		f.recordWork(state.load, r, responseTime, now)
+		f.recordWork(state.load, r, responseTime)
+		if route != nil {
+			f.mix(state.target.Service).add(route.Priority, now)
+		}
 	}
 	r.rejectedInRow = 0
 	r.responseSize.add(float64(size), median)
 	r.responseTime.add(float64(responseTime), responseQuantile)
-	if route := f.snapshot.Routes[header.Flow.Service]; route != nil && route.MaxResponseTime > 0 {
+	if route != nil && route.MaxResponseTime > 0 {
 		r.limit.update(r.waiting, time.Duration(r.responseTime.value), route.MaxResponseTime, now)
 	}
 }
@@ -138,10 +142,11 @@
 func (f *Forwarder) routeLoad(service Endpoint) *routeLoad {
 	r := f.routeLoads[service]
 	if r == nil {
-		if f.snapshot.Routes[service] == nil {
+		route := f.snapshot.Routes[service]
+		if route == nil {
 			return &f.noRoute
 		}
-		r = &routeLoad{}
+		r = &routeLoad{urgent: !route.LeastUrgent}
 		f.routeLoads[service] = r
 	}
 	return r
--- a/core/forward/route_load.go
+++ b/core/forward/route_load.go
@@ -33,15 +33,9 @@
 	// work estimates the time that a request takes at a target without a queue.
 	work    targetload.WorkEstimator
 	uploads uploads
-	// priority is that of the route, mix are the requests of its service, and urgent is true if other routes to the service give
-	// way to this one. They are those of the last new flow.
-	priority int
-	mix      *priorityMix
-	urgent   bool
-}
-
-func (r *routeLoad) setRoute(route *Route, mix *priorityMix, urgent bool) {
-	r.priority, r.mix, r.urgent = route.Priority, mix, urgent
+	// urgent is true if other routes to the service give way to this one, as of the last new flow; until then it is what the
+	// configuration says.
+	urgent bool
 }
 
 // pendingFlow is a flow that began to wait at since. It is outdated when the state's since has changed. sentAt is
--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -161,10 +161,7 @@
 }
 
 // recordWork records the response time of a request.
-func (f *Forwarder) recordWork(l *load, r *routeLoad, responseTime, now time.Duration) {
-	if r.mix != nil {
-		r.mix.add(r.priority, now)
-	}
+func (f *Forwarder) recordWork(l *load, r *routeLoad, responseTime time.Duration) {
 	r.work.Add(responseTime)
 	if work := r.work.Work(); work > 0 {
 		f.shared.collector.Finish(targetload.ID(l.token), work, responseTime, r.urgent)
--- a/core/forward/shared_load_test.go
+++ b/core/forward/shared_load_test.go
@@ -31,7 +31,7 @@
 // recordRequests records requests to the same service with a priority.
 func recordRequests(f *Forwarder, priority, requests int, now time.Duration) {
 	for range requests {
-		f.mix(f.snapshot.service()).add(priority, now)
+		f.mix(f.snapshot.service().Name).add(priority, now)
 	}
 }
 
--- a/core/forward/syn.go
+++ b/core/forward/syn.go
@@ -32,7 +32,7 @@
 	if service == nil {
 		return f.refuse(header, now, NoTarget)
 	}
-	load.setRoute(route, f.mix(service), f.urgent(route, service, now))
+	load.urgent = f.urgent(route, service, now)
 	flow := f.newFlow(route, service, load, first, now)
 	if first == nil && !f.linkAdmits(load, now) {
 		return Decision{Reason: LinkFull}
--- a/core/forward/urgency.go
+++ b/core/forward/urgency.go
@@ -71,7 +71,7 @@
 // route is urgent if it is more urgent than the least urgent ones that have minLessUrgentShare of the requests. Counted from the other
 // end, a flood of less urgent requests would make them urgent. A route is also urgent if there is nothing that it could give way to.
 func (f *Forwarder) urgent(route *Route, service *Service, now time.Duration) bool {
-	s := f.mix(service).shares(route.Priority, now)
+	s := f.mix(service.Name).shares(route.Priority, now)
 	if s.total < minMixedRequests {
 		return !route.LeastUrgent
 	}
@@ -79,11 +79,11 @@
 }
 
 // mix returns the requests of a service by priority.
-func (f *Forwarder) mix(service *Service) *priorityMix {
-	mix := f.shared.priorities[service.Name]
+func (f *Forwarder) mix(service string) *priorityMix {
+	mix := f.shared.priorities[service]
 	if mix == nil {
 		mix = &priorityMix{}
-		f.shared.priorities[service.Name] = mix
+		f.shared.priorities[service] = mix
 	}
 	return mix
 }
--- a/core/forward/urgency_test.go
+++ b/core/forward/urgency_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/mangoweir/mangoweir/core/admission"
 )
@@ -68,3 +69,47 @@
 		t.Errorf("the requests of %d services are kept, want those of the current one", n)
 	}
 }
+
+// Guards against urgent requests that don't count as urgent at a VM that has started, or that routers have assigned flows to: it
+// receives packets of open flows before it places a flow of the route.
+func TestRequestsOnOpenFlowsHavePriority(t *testing.T) {
+	f := testForwarder(loadedSnapshot(10, true))
+	token := f.snapshot.service().Local[0].Token
+	for i := range 30 {
+		f.Handle(data(testFlow(i), token, 100, 900), 0)
+		f.Handle(ack(testFlow(i), token, 1700), testWork)
+	}
+	reports := f.TakeLoadReports(time.Second)
+	if len(reports) != 1 || reports[0].UrgentWork != reports[0].Work {
+		t.Errorf("reports %+v, want all work urgent", reports)
+	}
+	if n := f.mix(f.snapshot.service().Name).shares(0, 0).total; n < 29 {
+		t.Errorf("%.0f of 30 requests count", n)
+	}
+}
+
+// Guards against requests that count for another service: a route to two services counted all requests for the one that its last new
+// flow went to.
+func TestRequestsCountForTheirService(t *testing.T) {
+	snapshot := loadedSnapshot(4, true)
+	second := &Service{Name: "counter", Local: snapshot.service().Local[2:]}
+	snapshot.service().Local = snapshot.service().Local[:2]
+	for _, target := range second.Local {
+		target.Service = second.Name
+	}
+	route := snapshot.Routes[deskAddr]
+	route.Backends, route.TotalWeight = append(route.Backends, Backend{Service: second, Weight: 1}), 2
+	f := testForwarder(snapshot)
+	f.Handle(syn(testFlow(0), 0), 0)
+	for i := range 30 {
+		token := second.Local[0].Token
+		if i < 10 {
+			token = snapshot.service().Local[0].Token
+		}
+		f.Handle(data(testFlow(i+1), token, 100, 900), 0)
+		f.Handle(ack(testFlow(i+1), token, 1700), testWork)
+	}
+	if a, b := f.mix(snapshot.service().Name).shares(0, 0).total, f.mix(second.Name).shares(0, 0).total; a > 11 || b > 21 || a+b < 28 {
+		t.Errorf("%.0f and %.0f requests, want 10 and 20", a, b)
+	}
+}
