--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -15,9 +15,16 @@
 	// many requests end as a full queue holds.
 	minFullTime = 100 * time.Millisecond
 	maxFullTime = time.Second
+	// maxRejectedInRow is the number of short responses in a row from which on they change the typical size of a route's responses.
+	// The responses may have become shorter; as each would count as a rejection, and rejections show that targets are full, that
+	// would never end. A service that still answers 5% of the requests rejects 100 in a row with a probability of 0.6%.
+	maxRejectedInRow = 100
 	// reservedWeight is the weight of reserved targets for flows that are not urgent. If none of a sample is chosen by its weight, a
 	// target that is not reserved is preferred, even if it is full.
 	reservedWeight = 1.0 / 64
+	// maxInitialReservation is how long targets are reserved without a policy. The first responses lead to one after about 1.5 s,
+	// unless the zone has no reader, or one with an earlier release. It is the time for which reservations hold without a reader.
+	maxInitialReservation = 10 * time.Second
 	// remoteMargin is the part of a route's latency objective by which the response time must be shorter in another zone before a
 	// flow goes there.
 	remoteMargin = 1.0 / 8
@@ -35,8 +42,10 @@
 	table     *targetload.Table
 	gate      *admission.Gate
 	collector targetload.Collector
-	// priorities are the priorities of the new flows by service.
+	// priorities are the priorities of the requests by service.
 	priorities map[string]*priorityMix
+	// reservedSince is when a flow was first placed with the initial reservation; 0 if none was.
+	reservedSince time.Duration
 }
 
 // SetLoad replaces the load of targets and the admission policy of this VM's zone. Both may be nil.
@@ -73,15 +82,20 @@
 }
 
 // reservedFraction returns the part of a service's targets that is reserved for urgent flows. Before the first policy it is the
-// initial one.
+// initial one, for maxInitialReservation.
 func (f *Forwarder) reservedFraction(service *Service, now time.Duration) float64 {
 	switch {
 	case f.shared.gate != nil:
 		return f.shared.gate.ReservedFraction(service.Name, now)
-	case service.Prioritized && len(service.Local) >= admission.MinReservedTargets:
-		return admission.InitialReservation
+	case !service.Prioritized || len(service.Local) < admission.MinReservedTargets:
+		return 0
+	case f.shared.reservedSince == 0:
+		f.shared.reservedSince = now
 	}
-	return 0
+	if now-f.shared.reservedSince > maxInitialReservation {
+		return 0
+	}
+	return admission.InitialReservation
 }
 
 // admits reports whether a new flow that is not urgent may be placed now, or gives way to more urgent ones of the service.
@@ -109,9 +123,10 @@
 }
 
 // leavesZone reports whether a flow goes to another zone, because its targets respond sooner. The probability rises with the
-// difference, so that the VMs of a zone do not all leave it at the same time.
+// difference, so that the VMs of a zone do not all leave it at the same time. Flows of routes without a latency objective stay, as
+// nothing tells from which difference on it matters.
 func (f *Forwarder) leavesZone(local, remote candidate, flow newFlow) bool {
-	if flow.work == 0 || remote.suspected {
+	if flow.work == 0 || flow.latencyObjective == 0 || remote.suspected {
 		return false
 	}
 	margin := remoteMargin * float64(flow.latencyObjective)
@@ -146,10 +161,7 @@
 }
 
 // recordWork records the response time of a request.
-func (f *Forwarder) recordWork(l *load, r *routeLoad, responseTime, now time.Duration) {
-	if r.mix != nil {
-		r.mix.add(r.priority, now)
-	}
+func (f *Forwarder) recordWork(l *load, r *routeLoad, responseTime time.Duration) {
 	r.work.Add(responseTime)
 	if work := r.work.Work(); work > 0 {
 		f.shared.collector.Finish(targetload.ID(l.token), work, responseTime, r.urgent)
