--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -131,10 +131,11 @@
 	return f.random.Float64()*float64(slots.Cold+slots.Local) < float64(slots.Cold)
 }
 
-// busy reports whether the best target of a pool has a queue, as far as the VMs of the zone know, or no free slot, if each VM of the zone has as many flows
-// waiting for it as this one.
+// busy reports whether the best target of a pool has a queue, as far as the VMs of the zone know, or no free slot, if each VM of the
+// zone has as many flows waiting for it as this one.
 func (f *Forwarder) busy(best candidate) bool {
-	return best.target == nil || best.suspected || best.slowness > loadedSlowness || best.waiting > 0 && best.waiting*f.snapshot.ZoneVMs >= best.target.Slots
+	return best.target == nil || best.suspected || best.slowness > loadedSlowness ||
+		best.waiting > 0 && best.waiting*f.snapshot.ZoneVMs >= best.target.Slots
 }
 
 // placeCold returns a cold target whose budget allows one more flow, or nil.
