forward: shorter handling of SYNs, and clearer names

Cause: handleSYN called the state of a route load, which is also the type and the method for the state of a target, and had two ways to complete a decision. The field priorities held requests by priority.

Change: names and a function for SYNs without a target, without a change of behaviour. Measured: the tests of core/forward pass.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -54,7 +54,7 @@
 		routeLoads: map[Endpoint]*routeLoad{},
 		answeredAt: map[core.ZoneName]time.Duration{},
 		link:       linkload.New(0),
-		shared:     sharedLoad{priorities: map[string]*priorityMix{}},
+		shared:     sharedLoad{mixes: map[string]*priorityMix{}},
 	}
 }
 
--- a/core/forward/shared_load.go
+++ b/core/forward/shared_load.go
@@ -32,8 +32,8 @@
 	table     *targetload.Table
 	gate      *admission.Gate
 	collector targetload.Collector
-	// priorities are the priorities of the requests by service.
-	priorities map[string]*priorityMix
+	// mixes are the requests by priority that this VM has seen, by service.
+	mixes map[string]*priorityMix
 	// reservedSince is when a flow was first placed with the initial reservation; 0 if none was.
 	reservedSince time.Duration
 }
--- a/core/forward/syn.go
+++ b/core/forward/syn.go
@@ -21,9 +21,9 @@
 		f.addEvidence(first.load, synEvidence, now)
 		f.requestProbe(&decision, first.load, f.snapshot.Targets[first.load.token], now)
 	}
-	load := f.routeLoad(header.Flow.Service)
-	f.expirePending(load, now)
-	if first == nil && !load.limit.allows(load.waiting, header.Ack) {
+	r := f.routeLoad(header.Flow.Service)
+	f.expirePending(r, now)
+	if first == nil && !r.limit.allows(r.waiting, header.Ack) {
 		// Clients that are refused try again at once, three times in all, and most would fail within some
 		// milliseconds. A dropped SYN is retransmitted after 200 and 600 ms.
 		return Decision{Reason: Overloaded}
@@ -32,35 +32,39 @@
 	if service == nil {
 		return f.refuse(header, now, NoTarget)
 	}
-	load.urgent = f.urgent(route, service, now)
-	flow := f.newFlow(route, service, load, first, now)
-	if first == nil && !f.linkAdmits(load, now) {
+	r.urgent = f.urgent(route, service, now)
+	flow := f.newFlow(route, service, r, first, now)
+	if first == nil && !f.linkAdmits(r, now) {
 		return Decision{Reason: LinkFull}
 	}
 	f.trackReach(service, first, header.Ack, now)
-	if first == nil && !load.urgent && !f.admits(route, service, now) {
+	if first == nil && !r.urgent && !f.admits(route, service, now) {
 		decision.Target, decision.Reason = f.placeElsewhere(service, flow, now), LessUrgent
 	} else {
 		decision.Target, decision.Reason = f.place(service, flow, now)
 	}
-	switch {
-	case decision.Target == nil && decision.Reason == ColdLimit && f.coldBudgetAllowsCopy(service, now):
-		return decision
-	case decision.Target == nil:
-		refused := f.refuse(header, now, decision.Reason)
-		refused.Probe = decision.Probe
-		return refused
-	case header.Ack > 0:
+	if decision.Target == nil {
+		return f.withoutTarget(header, service, decision, now)
+	}
+	decision.Action, decision.Reason = Forward, Placed
+	if header.Ack > 0 {
 		decision.Reason = PlacedAgain
-	default:
-		decision.Reason = Placed
 	}
-	decision.Action = Forward
 	f.recordSYN(header.Flow, decision.Target, now)
-	f.startUpload(load, header.Flow, now)
+	f.startUpload(r, header.Flow, now)
 	return decision
 }
 
+// withoutTarget completes the decision about a SYN for which no target was found.
+func (f *Forwarder) withoutTarget(header *Header, service *Service, decision Decision, now time.Duration) Decision {
+	if decision.Reason == ColdLimit && f.coldBudgetAllowsCopy(service, now) {
+		return decision
+	}
+	refused := f.refuse(header, now, decision.Reason)
+	refused.Probe = decision.Probe
+	return refused
+}
+
 // lastSYNCopy is the time from a client's first SYN to its last retransmission.
 const lastSYNCopy = 600 * time.Millisecond
 
--- a/core/forward/urgency.go
+++ b/core/forward/urgency.go
@@ -80,10 +80,10 @@
 
 // mix returns the requests of a service by priority.
 func (f *Forwarder) mix(service string) *priorityMix {
-	mix := f.shared.priorities[service]
+	mix := f.shared.mixes[service]
 	if mix == nil {
 		mix = &priorityMix{}
-		f.shared.priorities[service] = mix
+		f.shared.mixes[service] = mix
 	}
 	return mix
 }
@@ -96,5 +96,5 @@
 			used[route.Backends[i].Service.Name] = true
 		}
 	}
-	maps.DeleteFunc(f.shared.priorities, func(service string, _ *priorityMix) bool { return !used[service] })
+	maps.DeleteFunc(f.shared.mixes, func(service string, _ *priorityMix) bool { return !used[service] })
 }
--- a/core/forward/urgency_test.go
+++ b/core/forward/urgency_test.go
@@ -65,7 +65,7 @@
 		f.Install(snapshot)
 		placements(f, 1, 0)
 	}
-	if n := len(f.shared.priorities); n > 2 {
+	if n := len(f.shared.mixes); n > 2 {
 		t.Errorf("the requests of %d services are kept, want those of the current one", n)
 	}
 }
--- a/core/forward/zones.go
+++ b/core/forward/zones.go
@@ -9,8 +9,8 @@
 	// maxRemoteShare is the largest probability with which a flow leaves a zone because of its load. The flows that stay show when
 	// the zone has recovered.
 	maxRemoteShare = 0.9
-	// elsewhereShare is the part of the flows that give way in their zone and are offered to another one. It is offered none while more than
-	// maxElsewhereRejected of its requests are rejected.
+	// elsewhereShare is the part of the flows that give way in their zone and are offered to another one. A zone is offered none while
+	// more than maxElsewhereRejected of its requests are rejected.
 	elsewhereShare       = 0.5
 	maxElsewhereRejected = 0.02
 )
@@ -30,15 +30,16 @@
 	return f.random.Float64() < min((localTime-remoteTime-margin)/localTime, maxRemoteShare)
 }
 
-// placeElsewhere returns a target of another zone for a flow that gives way to more urgent ones in its own, or nil. The zone with the most
-// callers would otherwise refuse flows while others have capacity. As all VMs of a zone start to refuse at the same time and learn only
-// from their own flows what the other zones can take, only a part of the flows goes there.
+// placeElsewhere returns a target of another zone for a flow that gives way to more urgent ones in its own, or nil. The zone with the
+// most callers would otherwise refuse flows while others have capacity. As all VMs of a zone start to refuse at the same time and learn
+// only from their own flows what the other zones can take, only a part of the flows goes there.
 func (f *Forwarder) placeElsewhere(service *Service, flow newFlow, now time.Duration) *Target {
 	if len(service.Local) == 0 || f.random.Float64() >= elsewhereShare {
 		return nil
 	}
 	c := f.best(service.Remote, flow, now)
-	if c.target == nil || c.suspected || c.passedOver || c.slowness > loadedSlowness || f.shared.table.Rejected(c.target.LoadGroup, now) > maxElsewhereRejected {
+	if c.target == nil || c.suspected || c.passedOver || c.slowness > loadedSlowness ||
+		f.shared.table.Rejected(c.target.LoadGroup, now) > maxElsewhereRejected {
 		return nil
 	}
 	return c.target
