forward: a test that requests on open flows do not allocate

Cause: TestOpenFlowDoesNotAllocate sends packets without data, so that it misses what is counted for each request.

--- a/core/forward/bench_test.go
+++ b/core/forward/bench_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// Guards against allocations per request: requests and responses on open flows are counted by target, service and priority.
+func TestRequestDoesNotAllocate(t *testing.T) {
+	f, headers := benchForwarder()
+	i, now := 0, time.Millisecond
+	request := func() {
+		h := headers[i%benchFlows]
+		h.Length, h.Seq, h.Ack = 100, uint32(i)*100+1, uint32(i)*1000+1
+		f.Handle(&h, now)
+		h.Length, h.Ack = 0, h.Ack+800
+		f.Handle(&h, now+60*time.Millisecond)
+		i++
+		now += 10 * time.Microsecond
+	}
+	for range benchFlows {
+		request()
+	}
+	if n := testing.AllocsPerRun(10_000, request); n != 0 {
+		t.Fatalf("%v allocations per request", n)
+	}
+}
+
 // manyFlows is the number of flows with which TestFlowStateSize measures the memory per flow.
 const manyFlows = 300_000
 
