forward: an unanswered SYN is a failure, also of a loaded service

Cause: a flow whose SYN was overdue counted as a rejected request if its target or the service was loaded. A machine that was gone then kept its service loaded by such rejections, and was never ejected. A full target answers SYNs.

Change: only overdue requests count as rejections.

Measured: TestUnansweredSYNIsNoRejection failed before (no failure, one rejection) and passes now, as do the other tests of core/forward.

--- a/core/forward/rejection_test.go
+++ b/core/forward/rejection_test.go
@@ -28,3 +28,20 @@
 		t.Errorf("the last of 500 responses that counts as a rejection is the one with index %d, want 1 to 200", last)
 	}
 }
+
+// Guards against targets whose machine is gone but which are never ejected, as the failures of a loaded service count as rejections. A
+// full target answers SYNs; it turns away the request that follows.
+func TestUnansweredSYNIsNoRejection(t *testing.T) {
+	f := testForwarder(loadedSnapshot(1, true))
+	learnWork(f)
+	f.snapshot.service().Remote = nil
+	f.SetLoad(targetload.NewTable(groupLoad("zone-a", 4, 0.1), 0), nil)
+	f.Handle(syn(testFlow(1), 0), 0)
+	f.Handle(syn(testFlow(2), 0), maxOverdue)
+	if n := f.TakeFailures(maxOverdue); len(n) != 1 {
+		t.Errorf("failures %v, want one of the unanswered SYN", n)
+	}
+	if reports := f.TakeLoadReports(maxOverdue); len(reports) != 0 {
+		t.Errorf("reports %+v, want none", reports)
+	}
+}
--- a/core/forward/route_load.go
+++ b/core/forward/route_load.go
@@ -70,8 +70,8 @@
 	return p
 }
 
-// expirePending counts a failure of the target of each flow that has become overdue, and removes flows that have
-// waited for waitingTimeout from the counts of waiting flows.
+// expirePending counts a failure of the target of each flow that has become overdue, or a rejection of its request if
+// the target is loaded, and removes flows that have waited for waitingTimeout from the counts of waiting flows.
 func (f *Forwarder) expirePending(r *routeLoad, now time.Duration) {
 	for len(r.pending) > 0 && now-r.pending[0].sentAt >= r.overdueTime() {
 		p := r.pending.pop()
@@ -84,7 +84,7 @@
 		case p.since < f.movedAt:
 			// Another VM may receive the flow's packets.
 			r.overdue = append(r.overdue, p)
-		case f.loaded(f.snapshot.Targets[p.state.load.token], now):
+		case p.state.requestPending && f.loaded(f.snapshot.Targets[p.state.load.token], now):
 			f.addRejection(p.state.load, r, now)
 			r.overdue = append(r.overdue, p)
 		default:
