cli: check configurations before they are sent

Cause: faults of a configuration showed only after it was in the store.

Change: mangoweir check-config reports errors, entries without effect, contradicting limits, and differences to the configuration in force.

Measured: go test -race ./internal/configcheck ./internal/cli passes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,6 +32,7 @@
 		a.newDemo(),
 		NewLoadCommand(),
 		a.newCheck(),
+		a.newCheckConfig(),
 		a.newApply(),
 		a.newGet(),
 		a.newDiff(),
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -34,12 +34,14 @@
 		usage    *usageError
 		file     *fileError
 		problems *jsonc.Problems
+		config   *configError
 		unknown  *platform.UnknownOutcomeError
 	)
 	switch {
 	case errors.As(err, &unknown):
 		return ExitUnknownOutcome
-	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &problems):
+	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &problems),
+		errors.As(err, &config):
 		return ExitUsage
 	default:
 		return ExitFailed
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -1,20 +1,24 @@
 package cli
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/mangoweir/mangoweir/core"
+	"github.com/mangoweir/mangoweir/core/registry"
 	"github.com/mangoweir/mangoweir/internal/contract"
 	"github.com/mangoweir/mangoweir/internal/platform"
+	"github.com/mangoweir/mangoweir/internal/standin/objects"
 	standin "github.com/mangoweir/mangoweir/internal/standin/platform"
 )
 
@@ -25,7 +29,8 @@
 }
 
 // TestScripts guards against commands whose output, exit code or effect differs from the documentation.
-// In the scripts, $PLATFORM is the URL of the platform stand-in and $VM that of an entry VM's HTTP port.
+// In the scripts, $PLATFORM is the URL of the platform stand-in and $VM that of an entry VM's HTTP port. $STORE is the address of the
+// users' store with version 7 of a configuration, $EMPTY_STORE that of one without.
 func TestScripts(t *testing.T) {
 	examples, err := filepath.Abs("../../examples")
 	if err != nil {
@@ -73,9 +78,23 @@
 	e.Values[standinKey{}] = server
 	e.Setenv("PLATFORM", url)
 	e.Setenv("VM", vm.URL)
+	e.Setenv("STORE", startStore(e, `{"version":7,"routes":[{"name":"r-1","hostname":"198.18.0.1","pathPrefix":"/443/","service":"a","timeoutMs":4000}],`+
+		`"services":[{"name":"a"},{"name":"b"}],"limits":{"idleTimeoutMs":15000}}`))
+	e.Setenv("EMPTY_STORE", startStore(e, ""))
 	return nil
 }
 
+// startStore starts a stand-in of the users' store with a configuration, unless it is empty, and returns its address.
+func startStore(e *testscript.Env, config string) string {
+	store := objects.New()
+	if config != "" {
+		store.PutRaw("config", registry.ConfigName, json.RawMessage(config))
+	}
+	server := httptest.NewServer(store)
+	e.Defer(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // controlPlatform is the script command that sets and checks objects and faults of the platform stand-in.
 func controlPlatform(ts *testscript.TestScript, neg bool, args []string) {
 	server := ts.Value(standinKey{}).(*standin.Server)
