registry: test which of two routes with one address counts

Cause: check-config tells operators that the last route counts, and no test held that.

Change: a test. go test -race ./core/registry passes.

--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -292,3 +292,14 @@
 		convey.So(snapshot.Targets[forward.NewToken("i-1", 1000)].ColdUntil, convey.ShouldEqual, 2*time.Second)
 	})
 }
+
+// Guards against check-config naming the wrong one of two routes with the same address as without effect.
+func TestLastRouteOfAddressCounts(t *testing.T) {
+	r := testRegistry()
+	next := configRecord(2, 11, deskAddr, deskAddr)
+	next.Config.Routes[0].Name, next.Config.Routes[1].Name = "first", "last"
+	r.Apply(changed(Configs, 11, next), 0)
+	if route := r.Snapshot(0).Routes[endpoint(deskAddr)]; route == nil || route.Name != "last" {
+		t.Errorf("got route %+v, want the last one", route)
+	}
+}
