--- a/internal/cli/check_config.go
+++ b/internal/cli/check_config.go
@@ -1,7 +1,7 @@
 package cli
 
 import (
-	"context"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -22,30 +22,14 @@
 	Changes  []configcheck.Change  `json:"changes"`
 }
 
-// configError is the error for a configuration with at least one finding that is an error.
+// configError is the error for a configuration with findings that are errors.
 type configError struct {
-	file     string
+	text     string
 	findings []configcheck.Finding
 }
 
 // Error returns one line for each finding that is an error.
-func (e *configError) Error() string {
-	var lines []string
-	for _, f := range e.findings {
-		if f.Severity == configcheck.Error {
-			lines = append(lines, fmt.Sprintf("%s:%s", e.file, spaced(f)))
-		}
-	}
-	return strings.Join(lines, "\n")
-}
-
-// spaced returns a finding as it follows a file name and a colon: with a space unless it starts with a position.
-func spaced(f configcheck.Finding) string {
-	if f.Line > 0 {
-		return f.String()
-	}
-	return " " + f.String()
-}
+func (e *configError) Error() string { return e.text }
 
 // newCheckConfig returns the command that checks a configuration of the users' platform.
 func (a *app) newCheckConfig() *cobra.Command {
@@ -71,46 +55,66 @@
 		}
 		out := configOutput{File: args[0], Findings: []configcheck.Finding{}, Changes: []configcheck.Change{}}
 		next, err := readConfig(cmd, args[0])
-		if err == nil {
-			err = out.check(cmd, next, against, store)
-		}
-		failed, ok := err.(*configError)
+		var invalid *configError
 		switch {
-		case ok && failed.file == args[0]:
-			out.Findings = append(out.Findings, failed.findings...)
+		case errors.As(err, &invalid):
+			out.Findings = invalid.findings
 		case err != nil:
 			return err
+		default:
+			inForce, err := readConfigInForce(cmd, against, store)
+			if err != nil {
+				return err
+			}
+			out.check(inForce, next)
 		}
-		if err := format.print(cmd.OutOrStdout(), out.text(), out); err != nil {
+		failure := newConfigError(out.File, out.Findings)
+		if err := format.print(cmd.OutOrStdout(), out.text(failure == nil), out); err != nil {
 			return err
 		}
-		return out.err()
+		return failure
 	}
 	return cmd
 }
 
-// check adds the findings of a configuration and its differences to the one in force.
-func (o *configOutput) check(cmd *cobra.Command, next *platform.CheckedConfig, against, store string) error {
+// check adds the findings of a configuration and its differences to the one in force, which may be nil.
+func (o *configOutput) check(inForce, next *platform.CheckedConfig) {
 	o.Version = next.Version
-	var (
-		inForce *platform.CheckedConfig
-		err     error
-	)
-	switch {
-	case against != "":
-		inForce, err = readConfig(cmd, against)
-	case store != "":
-		inForce, err = readStoredConfig(cmd.Context(), store)
-	}
-	if err != nil {
-		return err
-	}
 	if inForce != nil {
 		o.InForce = inForce.Version
 		o.Findings = append(o.Findings, configcheck.CheckVersion(inForce, next)...)
 		o.Changes = append(o.Changes, configcheck.Compare(inForce, next)...)
 	}
 	o.Findings = append(o.Findings, configcheck.Check(next)...)
+}
+
+// text lists warnings and changes. Errors are printed to standard error.
+func (o *configOutput) text(valid bool) string {
+	text := findingLines(o.File, o.Findings, configcheck.Warning)
+	for _, c := range o.Changes {
+		text += c.String() + "\n"
+	}
+	if valid {
+		text += fmt.Sprintf("%s: version %d can be sent\n", o.File, o.Version)
+	}
+	return text
+}
+
+func findingLines(file string, findings []configcheck.Finding, severity configcheck.Severity) string {
+	var b strings.Builder
+	for _, f := range findings {
+		if f.Severity == severity {
+			fmt.Fprintln(&b, f.Text(file))
+		}
+	}
+	return b.String()
+}
+
+// newConfigError returns an error if a finding is one, or nil.
+func newConfigError(file string, findings []configcheck.Finding) error {
+	if text := findingLines(file, findings, configcheck.Error); text != "" {
+		return &configError{strings.TrimSuffix(text, "\n"), findings}
+	}
 	return nil
 }
 
@@ -120,50 +124,28 @@
 	if err != nil {
 		return nil, err
 	}
+	config, err := platform.DecodeCheckedConfig(text)
 	if len(text) > jsonc.MaxSize {
-		return nil, &configError{name, []configcheck.Finding{{
-			Severity: configcheck.Error, Message: "the file is too large", Remedy: fmt.Sprintf("keep it within %d bytes", jsonc.MaxSize),
-		}}}
+		err = fmt.Errorf("the file has more than %d bytes, the store's limit", jsonc.MaxSize)
 	}
-	config, err := platform.DecodeCheckedConfig(text)
 	if err != nil {
-		return nil, &configError{name, []configcheck.Finding{configcheck.Undecodable(text, err)}}
+		return nil, newConfigError(name, []configcheck.Finding{configcheck.Undecodable(text, err)})
 	}
 	return config, nil
 }
 
-// readStoredConfig returns the configuration in the store at an address, or nil.
-func readStoredConfig(ctx context.Context, address string) (*platform.CheckedConfig, error) {
+// readConfigInForce reads the configuration in force from a file or the store. It returns nil when neither is named or the store has
+// none.
+func readConfigInForce(cmd *cobra.Command, file, address string) (*platform.CheckedConfig, error) {
+	switch {
+	case file != "":
+		return readConfig(cmd, file)
+	case address == "":
+		return nil, nil
+	}
 	store, err := platform.NewStore(address, nil)
 	if err != nil {
 		return nil, &usageError{err}
 	}
-	return store.CheckedConfig(ctx)
-}
-
-// err returns the findings that are errors, or nil.
-func (o *configOutput) err() error {
-	for _, f := range o.Findings {
-		if f.Severity == configcheck.Error {
-			return &configError{o.File, o.Findings}
-		}
-	}
-	return nil
-}
-
-// text lists warnings and changes. Errors are returned as an error and printed to standard error.
-func (o *configOutput) text() string {
-	var b strings.Builder
-	for _, f := range o.Findings {
-		if f.Severity == configcheck.Warning {
-			fmt.Fprintf(&b, "%s:%s\n", o.File, spaced(f))
-		}
-	}
-	for _, c := range o.Changes {
-		fmt.Fprintln(&b, c)
-	}
-	if o.err() == nil {
-		fmt.Fprintf(&b, "%s: version %d can be sent\n", o.File, o.Version)
-	}
-	return b.String()
+	return store.CheckedConfig(cmd.Context())
 }
