targetload: short responses of a target without a queue are errors

Cause: once a service had rejected a request, all its short responses counted as rejections.

Change: rejections count only if the target's other responses take 2.5 times their work or more, which shows a queue.

Tests: two cases took rejections of targets without any response for those of a full one; a full target still answers what it works on, so they have such responses now. New cases for targets with errors.

--- a/core/targetload/summary.go
+++ b/core/targetload/summary.go
@@ -22,6 +22,10 @@
 	// slowTarget is the ratio of the slowness of a target to that of its service from which it is listed. The best tenth of equal
 	// targets is about a fifth below their mean by chance.
 	slowTarget = 2
+	// queueSlowness is the slowness of the responses of a target from which on it has a queue: a request of average work that waits for
+	// one and a half others takes 2.5 times its work. minQueueResponses is the decayed number of responses that shows it.
+	queueSlowness     = 2.5
+	minQueueResponses = 0.5
 	// recentRejections is the decayed number of rejections from which a target is listed: one within 1.6 s.
 	recentRejections = 0.1
 	// maxSlowTargets is the number of targets in a summary: about 0.7 KB every 250 ms.
@@ -103,7 +107,7 @@
 			s = &service{}
 			p.services[group.Service] = s
 		}
-		m := member{id: id, sums: sums.decayed(now), age: age}
+		m := member{id: id, sums: sums.decayed(now).withoutErrors(), age: age}
 		s.members = append(s.members, m)
 		s.recent = s.recent || age <= recentReports
 		s.total.responses += m.sums.responses
@@ -114,6 +118,22 @@
 	}
 }
 
+// withoutErrors returns the sums without rejections if the other responses of the target show that it has no queue: its short
+// responses are errors then. A target that answers only errors must not count as full, since it would never be ejected.
+func (s sums) withoutErrors() sums {
+	requests := s.responses + s.rejected
+	if s.rejected == 0 || requests == 0 {
+		return s
+	}
+	answered := s.work * s.responses / requests
+	if s.responses >= minQueueResponses && s.took >= queueSlowness*answered {
+		return s
+	}
+	s.rejected, s.work = 0, answered
+	s.recent.rejected, s.recent.urgentRejected = 0, 0
+	return s
+}
+
 // settle computes the slowness of a service and of its members.
 func (s *service) settle() {
 	var penalty float64 // seconds
