forward: a VM without answers learns from others that a zone is full

Cause: a VM with few flows, which had no answer of a zone within a second, took reset connections for a network fault, although the other VMs of its zone knew the target as loaded, and reset the target's flows.

Change: a loaded target is not silent when it resets connections.

--- a/core/forward/exited_test.go
+++ b/core/forward/exited_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/mangoweir/mangoweir/core/targetload"
 )
 
 // withCondition returns a snapshot in which the n-th local target has the given condition, and that target.
@@ -111,6 +113,13 @@
 			convey.So(f.HandleProbe(full, Full, now), convey.ShouldBeEmpty)
 			convey.So(f.Handle(request, now).Action, convey.ShouldEqual, Forward)
 		})
+		convey.Convey("a VM without answers takes the load of the target from the other VMs", func() {
+			now := 20*time.Millisecond + zoneAnswerTime
+			summary := targetload.Summary{Targets: []targetload.TargetLoad{{ID: targetload.ID(full), Slowness: 6}}}
+			f.SetLoad(targetload.NewTable(summary, now), nil)
+			convey.So(f.HandleProbe(full, ConnectionReset, now), convey.ShouldBeEmpty)
+			convey.So(f.Handle(request, now).Action, convey.ShouldEqual, Forward)
+		})
 		convey.Convey("once the zone has not answered for zoneAnswerTime, the target counts as silent", func() {
 			now := 20*time.Millisecond + zoneAnswerTime
 			convey.So(f.HandleProbe(full, ConnectionReset, now), convey.ShouldBeEmpty)
--- a/core/forward/liveness.go
+++ b/core/forward/liveness.go
@@ -126,7 +126,7 @@
 		l.endedUntil, l.silentUntil = 0, 0
 		return nil
 	case ConnectionReset:
-		if t := f.snapshot.Targets[token]; t != nil && f.zoneAnswers(t.Zone, now) {
+		if t := f.snapshot.Targets[token]; t != nil && (f.zoneAnswers(t.Zone, now) || f.loaded(t, now)) {
 			return nil
 		}
 		l.silentUntil = now + silentTTL
