targetload, admission, feed: comments say urgent where it is learned

Cause: comments named the most urgent priority, which was the first version of the rule; which routes are urgent is learned from requests since. No change of behaviour.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -84,7 +84,7 @@
 	return share == nil || !(draw >= share.Admitted)
 }
 
-// ReservedFraction returns the fraction of a service's targets that is reserved for its most urgent priority, in [0, 1].
+// ReservedFraction returns the fraction of a service's targets that is reserved for urgent requests, in [0, 1].
 func (g *Gate) ReservedFraction(service string, now time.Duration) float64 {
 	if !g.valid(now, reservationLifetime) {
 		return 0
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -5,11 +5,11 @@
 // Load is the load of a service, as the VMs of a zone observe it.
 type Load struct {
 	Service string
-	// Slowness is the response time as a multiple of the time without a queue, Rejected the share of the requests of the most urgent
-	// priority that targets rejected. Rejections of others are no reason to turn flows away: with long-lived flows, they go on
+	// Slowness is the response time as a multiple of the time without a queue, Rejected the share of the urgent requests that
+	// targets rejected. Rejections of others are no reason to turn flows away: with long-lived flows, they go on
 	// whatever becomes of new flows.
 	Slowness, Rejected float64
-	// Slots is the capacity of the service's targets, UrgentSlots the part of it that the requests of the most urgent priority need.
+	// Slots is the capacity of the service's targets, UrgentSlots the part of it that urgent requests need.
 	Slots, UrgentSlots float64
 	// Targets is the number of targets that may get new flows.
 	Targets int
@@ -25,7 +25,7 @@
 	Admitted float64
 }
 
-// Reservation is the part of a service's targets that is reserved for the most urgent priority.
+// Reservation is the part of a service's targets that is reserved for urgent requests.
 type Reservation struct {
 	Service string
 	// Fraction is in [0, 1].
--- a/core/targetload/collector.go
+++ b/core/targetload/collector.go
@@ -30,7 +30,7 @@
 }
 
 // Finish records a response of a target. Without a known work (0) it counts the response only, as its slowness is unknown. Urgent
-// is whether the route has the most urgent priority of its service.
+// is whether other routes to the service give way to the route.
 func (c *Collector) Finish(id ID, work, took time.Duration, urgent bool) {
 	sum, ok := c.sum(id)
 	if !ok {
--- a/core/targetload/types.go
+++ b/core/targetload/types.go
@@ -12,15 +12,16 @@
 	ID ID
 	// Responses is the number of responses, Rejected the number of requests that the target turned away because it was full.
 	Responses, Rejected uint32
-	// UrgentResponses and UrgentRejected are the parts of these of the most urgent routes.
+	// UrgentResponses and UrgentRejected are the parts of these of urgent routes.
 	UrgentResponses, UrgentRejected uint32
 	// Took is the sum of the response times, Work the sum of the times that the requests take at a target without a queue,
-	// rejected ones included. UrgentWork is the part of Work of the most urgent routes.
+	// rejected ones included. UrgentWork is the part of Work of urgent routes.
 	Took, Work, UrgentWork time.Duration
 }
 
 // Group is what a Pool needs to know about a target that may get new flows.
 type Group struct {
+	// Service names the targets that are compared with each other: forwarders use a service's targets in one zone.
 	Service string
 	Slots   int
 }
@@ -40,9 +41,9 @@
 type ServiceLoad struct {
 	Service string
 	// Slowness is that of the best tenth of the targets, where new flows go. Rejected is the share of the requests that were
-	// rejected, UrgentRejected that of the requests of the most urgent routes.
+	// rejected, UrgentRejected that of the requests of urgent routes.
 	Slowness, Rejected, UrgentRejected float64
-	// Slots is the number of slots of the targets, UrgentSlots the mean number that the requests of the most urgent routes
+	// Slots is the number of slots of the targets, UrgentSlots the mean number that the requests of urgent routes
 	// occupy or would have occupied.
 	Slots, UrgentSlots float64
 }
