admission: bound the rejections after a burst

Change: at most 8 rejections, 0.1% of the requests, may come after the clients of the burst have given up.

--- a/core/admission/modelzone_test.go
+++ b/core/admission/modelzone_test.go
@@ -54,6 +54,9 @@
 	default:
 		m.rejected++
 		m.lastRejection = m.now
+		if m.now > burstEnd+modelGiveUp {
+			m.lateRejected++
+		}
 		m.addUrgent(r)
 		m.fail(r)
 	}
--- a/core/admission/replay_test.go
+++ b/core/admission/replay_test.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// maxLateRejected is the number of rejections by chance that are allowed after the burst: 0.1% of about 8,500 requests.
+const maxLateRejected = 8
+
 // Guards against shares under the floor, and against flows that are refused although rejections have ended.
 func TestSharesAfterTheBurst(t *testing.T) {
 	for _, day := range days {
@@ -138,6 +141,9 @@
 			if m.lastShort > m.lastRejection+seen {
 				t.Errorf("%s, %d VMs: rejections until %v, seen until %v", day.name, vms, m.lastRejection, m.lastShort)
 			}
+			if m.lateRejected > maxLateRejected {
+				t.Errorf("%s, %d VMs: %d rejections after the burst", day.name, vms, m.lateRejected)
+			}
 			if m.lastDrop > burstEnd+modelGiveUp+seen+riseTime+modelDelay {
 				t.Errorf("%s, %d VMs: flows are refused until %v after the burst", day.name, vms, m.lastDrop-burstEnd)
 			}
