--- a/core/admission/model_test.go
+++ b/core/admission/model_test.go
@@ -101,7 +101,7 @@
 	readerLost    bool
 	short         bool // the service has rejections, as the VMs see it
 	lastRejection time.Duration
-	lateRejected  int // rejections after the clients of the burst have given up
+	lateRejected  int           // rejections after the clients of the burst have given up
 	lastDrop      time.Duration // of a SYN
 	lastShort     time.Duration // last time that the reader saw too many rejections for shares to rise
 }
