--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -95,8 +95,8 @@
 // coldFromFar restarts a host under its id while the store is down. Clients of a zone without hosts of the service open flows at it.
 func coldFromFar(binary, record string, trouble bool) int {
 	w, err := newWorld(binary, record, layout{
-		zones: []string{"randstad-ut", "randstad-dt", "randstad-hl"}, vms: []int{3, 2, 2},
-		hosts: map[string][]int{"desk": {2, 2, 0}, "photos": {2, 1, 1}},
+		zones: []string{"randstad-ut", "randstad-dt", "randstad-hl"}, vms: []int{2, 2, 3},
+		hosts: map[string][]int{"desk": {1, 2, 0}, "photos": {2, 1, 1}},
 	})
 	if err != nil {
 		return failed(err)
@@ -133,12 +133,12 @@
 	time.Sleep(500 * time.Millisecond)
 	w.record("host      %s crashes", crashed.id)
 	crashed.kill()
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(30 * time.Millisecond)
 	if err := crashed.start(true); err != nil {
 		return failed(err)
 	}
 	w.record("host      %s starts again, cold for %s", crashed.id, coldStart)
-	time.Sleep(4300 * time.Millisecond)
+	time.Sleep(4400 * time.Millisecond)
 	w.store.setDown(false)
 	time.Sleep(4 * time.Second)
 	return w.finish()
