--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(binary, record string, trouble bool) int{
 	"service-left-out": serviceLeftOut,
 	"cold-from-far":    coldFromFar,
+	"reader-restarts":  readerRestarts,
 }
 
 // finish ends a run and returns its exit code.
@@ -143,3 +144,43 @@
 	time.Sleep(4 * time.Second)
 	return w.finish()
 }
+
+// readerRestarts kills the VM that reads the store for a zone right after the zone was taken back, with cold hosts.
+func readerRestarts(binary, record string, trouble bool) int {
+	w, err := newWorld(binary, record, layout{
+		zones: []string{"randstad-ut", "randstad-dt", "randstad-hl"}, vms: []int{3, 2, 2},
+		hosts: map[string][]int{"desk": {2, 2, 2}, "photos": {2, 1, 1}},
+	})
+	if err != nil {
+		return failed(err)
+	}
+	w.store.staleness = time.Second
+	w.writeConfig(7, []routeSpec{{"desk", "desk"}, {"photos", "photos"}}, []string{"desk", "photos"})
+	if !w.awaitReady() {
+		w.fatal("not all machines are ready")
+		return w.finish()
+	}
+	for n := range 280 {
+		z := 0
+		if n >= 240 {
+			z = 1 + n%2
+		}
+		c, err := w.addClient(z, "desk")
+		if err != nil {
+			return failed(err)
+		}
+		w.wait.Go(func() { c.visit(w.stop, time.Second) })
+	}
+	time.Sleep(6 * time.Second)
+	zone := w.zones[0]
+	w.takeOut(zone)
+	time.Sleep(5600 * time.Millisecond)
+	w.takeBack(zone)
+	if reader := w.reader(zone); trouble && reader != nil {
+		time.Sleep(20 * time.Millisecond)
+		w.record("machine   %s, the reader of %s, is killed", reader.name, zone)
+		reader.signal(syscall.SIGKILL)
+	}
+	time.Sleep(5 * time.Second)
+	return w.finish()
+}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -38,6 +38,7 @@
 	Object  object `json:"object"`
 	Removed bool   `json:"removed"`
 	kind    string
+	at      time.Time
 }
 
 // store is the platform's metadata store: lists, watches and conditional writes over one revision counter.
@@ -51,6 +52,8 @@
 	renewed map[string]time.Time
 	// down makes all calls end with status 503, of the operator and the hosts too.
 	down bool
+	// staleness is how old the data is that calls with staleOk get.
+	staleness time.Duration
 }
 
 func newStore() *store {
@@ -124,7 +127,7 @@
 		s.kinds[kind] = map[string]object{}
 	}
 	s.kinds[kind][o.Meta.Name] = o
-	s.history = append(s.history, event{Object: o, kind: kind})
+	s.history = append(s.history, event{Object: o, kind: kind, at: time.Now()})
 	s.notify()
 	return o
 }
@@ -137,7 +140,7 @@
 	delete(s.kinds[kind], name)
 	s.revision++
 	o.Meta.Revision = s.revision
-	s.history = append(s.history, event{Object: o, Removed: true, kind: kind})
+	s.history = append(s.history, event{Object: o, Removed: true, kind: kind, at: time.Now()})
 	s.notify()
 }
 
@@ -166,6 +169,9 @@
 		respond(w, http.StatusOK, page)
 	case r.Method == http.MethodGet:
 		o, ok := s.kinds[kind][name]
+		if query.Get("staleOk") == "1" && s.staleness > 0 {
+			o, ok = s.before(kind, name, time.Now().Add(-s.staleness))
+		}
 		s.mu.Unlock()
 		if !ok {
 			respond(w, http.StatusNotFound, map[string]any{})
@@ -182,6 +188,16 @@
 	}
 }
 
+// before returns an object as it was at a time.
+func (s *store) before(kind, name string, at time.Time) (o object, ok bool) {
+	for _, e := range s.history {
+		if e.kind == kind && e.Object.Meta.Name == name && e.at.Before(at) {
+			o, ok = e.Object, !e.Removed
+		}
+	}
+	return o, ok
+}
+
 func (s *store) page(kind, after string) map[string]any {
 	items, more := []object{}, false
 	for _, name := range slices.Sorted(maps.Keys(s.kinds[kind])) {
--- a/review/standin2/vm.go
+++ b/review/standin2/vm.go
@@ -17,6 +17,8 @@
 const (
 	// restartDelay is the time after which the platform starts a process again that has ended.
 	restartDelay = 500 * time.Millisecond
+	// cpuShare is the machines' share of a core in their settings, that of site rmra-sfax.
+	cpuShare = 0.088
 	// probeInterval is the interval of the routers' readiness requests; two misses take a VM out of rotation.
 	probeInterval = 500 * time.Millisecond
 	maxMisses     = 2
@@ -54,7 +56,7 @@
 		"ip": v.addr.String(), "zone": v.zone, "region": "region", "zones": regions,
 		"bindAddrs":         map[string]string{"datagramAddr": v.packets().String(), "ready": v.ready(), "control": v.control()},
 		"internalPortRange": []int{7720, 7735}, "seeds": seeds, "bootstrap": true, "inTolerance": false,
-		"limits":  map[string]any{"cpuShare": 0.4, "cpuSpeedFactor": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"limits":  map[string]any{"cpuShare": cpuShare, "cpuSpeedFactor": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "announce", "heartbeatMs": heartbeat.Milliseconds(),
 		"contracts": []string{"base", "drain", "config", "cost", "recover", "flows", "places", "platform"},
 		"bounds": map[string]any{
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -325,3 +325,35 @@
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
+
+// takeOut takes a zone out of service.
+func (w *world) takeOut(zone string) {
+	w.store.put(kindEvacuations, zone, map[string]any{})
+	w.record("operator  takes zone %s out", zone)
+}
+
+// takeBack takes a zone back into service. Its hosts have become cold just before; their entries show it with their next heartbeat.
+func (w *world) takeBack(zone string) {
+	for _, h := range w.hosts {
+		if h.zone == zone {
+			h.mu.Lock()
+			h.coldUntil, h.openings = time.Now().Add(coldStart), nil
+			h.mu.Unlock()
+		}
+	}
+	w.store.remove(kindEvacuations, zone)
+	w.record("operator  takes zone %s back", zone)
+}
+
+// reader returns the VM that last wrote to the store under a condition for a zone: the one that the object of the system names.
+func (w *world) reader(zone string) *vm {
+	w.store.mu.Lock()
+	spec := string(w.store.kinds["mangoweir-readers"][zone].Spec)
+	w.store.mu.Unlock()
+	for _, v := range w.vms {
+		if strings.Contains(spec, `"`+v.name+`"`) {
+			return v
+		}
+	}
+	return nil
+}
