--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 runs a case of the second review: real processes of the system on loopback addresses, with stand-ins for the
 // platform's store, routers, clients, hosts and operator. Its exit code is 1 when the rule was broken, 0 when it held, and 2 when
 // the case could not run.
