--- a/review/standin2/vm.go
+++ b/review/standin2/vm.go
@@ -101,7 +101,7 @@
 		v.mu.Lock()
 		v.cmd = nil
 		if !v.stopped && !v.expected {
-			v.w.broken("Fault", "the process of %s ended by itself: %s", v.name, cmd.ProcessState)
+			v.w.fatal("the process of %s ended by itself: %s", v.name, cmd.ProcessState)
 		}
 		v.expected = false
 		v.mu.Unlock()
